--- /dev/null
+++ b/azurepier/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder."""
--- /dev/null
+++ b/azurepier/kernel/_effects.py
@@ -0,0 +1,77 @@
+"""Effects that a node asks its shell to carry out."""
+
+import typing
+
+import attrs
+
+
+@attrs.frozen
+class Send:
+    """Send a message on a connection; dropped if the connection is gone."""
+
+    conn: int
+    msg: typing.Any
+
+
+@attrs.frozen
+class Dial:
+    """Open a connection to `address` ("host:port")."""
+
+    address: str
+
+
+@attrs.frozen
+class Close:
+    """Close a connection."""
+
+    conn: int
+
+
+@attrs.frozen
+class Answer:
+    """Answer the caller's request `req`.
+
+    `body` is one of the answer classes of `azurepier.kernel`.
+    """
+
+    req: int
+    body: typing.Any
+
+
+@attrs.frozen
+class RunTask:
+    """Start a task on the worker (endpoint process only).
+
+    `start` is the `Start` message that asked for it.
+    """
+
+    key: typing.Any
+    start: typing.Any
+
+
+@attrs.frozen
+class StopTask:
+    """Stop a running task; `TaskEnded` still follows."""
+
+    key: typing.Any
+
+
+@attrs.frozen
+class ReadPlatform:
+    """Read the entries and the configuration from the platform."""
+
+
+@attrs.frozen
+class Record:
+    """Add an event to the time line."""
+
+    name: str
+    job_id: str = ''
+    task: int = -1
+    endpoint: str = ''
+    detail: str = ''
+
+
+@attrs.frozen
+class Stopped:
+    """The drain has finished; the process may exit."""
--- /dev/null
+++ b/azurepier/kernel/_job.py
@@ -0,0 +1,116 @@
+"""Jobs as callers submit them and the answers they get."""
+
+import typing
+
+import attrs
+
+from azurepier.kernel import _verdict
+
+MAX_TASKS = 140
+MAX_DEADLINE_MS = 3_600_000
+
+
+@attrs.frozen
+class TaskSpec:
+    """One task of a job. `payload` is JSON as bytes.
+
+    `duration_ms` and `size` are what the caller declared, None where it
+    declared nothing.
+    """
+
+    kind: str
+    payload: bytes
+    duration_ms: float | None = None
+    size: int = 1
+
+
+@attrs.frozen
+class JobSpec:
+    """A submission. `digest` identifies its content."""
+
+    customer: str
+    tasks: tuple
+    deadline_ms: int
+    urgent: bool = False
+    idempotent: bool = False
+    digest: str = ''
+
+
+@attrs.frozen
+class Ids:
+    """Answer to `NewIds`."""
+
+    ids: tuple
+    expires_in_s: int
+
+
+@attrs.frozen
+class Complete:
+    """Every task ended; `outputs` are JSON bytes in task order."""
+
+    job_id: str
+    outputs: tuple
+
+
+@attrs.frozen
+class Accepted:
+    """The job is known and has not ended yet."""
+
+    job_id: str
+    state: str = 'running'
+
+
+@attrs.frozen
+class Refused:
+    """The request has no result.
+
+    Parameters
+    ----------
+    job_id : str
+        The job, or an empty string where there is none.
+    type : str
+        Error type, a key of `ERROR_TYPES`.
+    verdict : Verdict
+        Whether work of the job may have run.
+    detail : str
+        What happened, for people.
+    retry_after_s : float or None
+        When the client should come back.
+    location : str
+        Base URL of an entry that takes the request, or empty.
+    """
+
+    job_id: str
+    type: str
+    verdict: _verdict.Verdict
+    detail: str = ''
+    retry_after_s: float | None = None
+    location: str = ''
+
+
+# HTTP status and title by error type.
+ERROR_TYPES: dict[str, tuple[int, str]] = {
+    'invalid-input': (400, 'Invalid input'),
+    'unauthorized': (401, 'Missing or wrong token'),
+    'forbidden': (403, 'The token belongs to another customer'),
+    'unknown-customer': (403, 'Unknown customer'),
+    'unknown-job': (404, 'Unknown job'),
+    'content-differs': (409, 'Another job was submitted under this id'),
+    'expired': (410, 'The job id has expired'),
+    'too-large': (413, 'The request is too large'),
+    'job-too-large': (422, 'The job exceeds the plan'),
+    'impossible': (422, 'No endpoint can run this job'),
+    'overloaded': (429, 'The job would miss its deadline'),
+    'queue-full': (429, 'The queue of the plan is full'),
+    'task-failed': (502, 'A task failed'),
+    'task-lost': (502, 'A task was lost with its worker'),
+    'owner-lost': (502, 'The entry that owned the job was lost'),
+    'cancelled': (410, 'The job was cancelled'),
+    'draining': (503, 'This entry is shutting down'),
+    'not-ready': (503, 'This entry has no configuration yet'),
+    'answers-full': (503, 'Too many retained answers'),
+    'deadline': (504, 'The deadline has passed'),
+    'internal': (500, 'Internal error'),
+}
+
+AnyAnswer = typing.Union[Ids, Complete, Accepted, Refused]
--- /dev/null
+++ b/azurepier/kernel/_timers.py
@@ -0,0 +1,50 @@
+"""Timers of a node, kept as state so that the shell needs only one alarm."""
+
+import heapq
+
+import attrs
+
+
+@attrs.define
+class Timers:
+    """Pending timers, each identified by a hashable key.
+
+    Setting a key again replaces its deadline.
+    """
+
+    _heap: list = attrs.field(factory=list)
+    _deadlines: dict = attrs.field(factory=dict)
+    _counter: int = 0
+
+    def set(self, key, at):
+        """Let the timer `key` expire at the time `at` (s)."""
+        self._deadlines[key] = at
+        self._counter += 1
+        heapq.heappush(self._heap, (at, self._counter, key))
+
+    def cancel(self, key):
+        """Remove the timer `key` if it is set."""
+        self._deadlines.pop(key, None)
+
+    def next_at(self):
+        """Return the earliest deadline (s), or None."""
+        heap = self._heap
+        while heap:
+            at, _, key = heap[0]
+            if self._deadlines.get(key) == at:
+                return at
+            heapq.heappop(heap)
+        return None
+
+    def expired(self, now):
+        """Remove and yield the keys of timers due at `now`, in order."""
+        while True:
+            at = self.next_at()
+            if at is None or at > now:
+                return
+            _, _, key = heapq.heappop(self._heap)
+            del self._deadlines[key]
+            yield key
+
+    def __len__(self):
+        return len(self._deadlines)
--- /dev/null
+++ b/azurepier/kernel/_verdict.py
@@ -0,0 +1,41 @@
+"""Verdicts: whether the work of a request may have run."""
+
+import enum
+
+
+class Verdict(enum.Enum):
+    """What is known about the work of a request that did not complete."""
+
+    NOT_RUN = 'not_run'
+    MAY_HAVE_RUN = 'may_have_run'
+    RAN = 'ran'
+
+
+class Status(enum.IntEnum):
+    """State of one task as an endpoint process reports it.
+
+    Notes
+    -----
+    The numbers travel in ``Outcome.status`` and must not change.
+    """
+
+    DONE = 0
+    FAILED = 1  # the worker ran the task and it failed
+    REFUSED = 2  # not started: no free slot
+    LEAVING = 3  # not started: the endpoint is leaving
+    FENCED = 4  # not started: the job was fenced or cancelled
+    LOST = 5  # started; what became of it is not known
+    STOPPED = 6  # started and then stopped on request
+    CANCELLED = 7  # cancelled before it started
+
+
+VERDICT_OF_STATUS = {
+    Status.DONE: Verdict.RAN,
+    Status.FAILED: Verdict.RAN,
+    Status.REFUSED: Verdict.NOT_RUN,
+    Status.LEAVING: Verdict.NOT_RUN,
+    Status.FENCED: Verdict.NOT_RUN,
+    Status.LOST: Verdict.MAY_HAVE_RUN,
+    Status.STOPPED: Verdict.MAY_HAVE_RUN,
+    Status.CANCELLED: Verdict.NOT_RUN,
+}
--- /dev/null
+++ b/azurepier/kernel/tests/test_kernel.py
@@ -0,0 +1,33 @@
+"""Tests of what all nodes share."""
+
+import random
+
+from azurepier import kernel
+
+
+class TestIds:
+    def test_only_issued_ids_are_authentic(self):
+        # Guards against ids that a caller made up.
+        incarnation = kernel.ids.new_incarnation(random.Random(1))
+        text = kernel.ids.make(incarnation, 300, 7, b'secret')
+        assert kernel.ids.is_authentic(text, b'secret')
+        assert not kernel.ids.is_authentic(text, b'other')
+        forged = text.replace('-7-', '-8-')
+        assert not kernel.ids.is_authentic(forged, b'secret')
+
+    def test_malformed_ids_are_recognised(self):
+        for text in ('', 'a-b', 'a-1-zz-mac', 'x' * 200, 'é-1-1-m'):
+            assert kernel.ids.parse(text) is None
+
+
+class TestTimers:
+    def test_resetting_a_timer_replaces_its_deadline(self):
+        # Guards against a timer that fires at its old deadline too.
+        timers = kernel.Timers()
+        timers.set('a', 1.0)
+        timers.set('b', 2.0)
+        timers.set('a', 3.0)
+        assert timers.next_at() == 2.0
+        assert list(timers.expired(2.5)) == ['b']
+        assert list(timers.expired(3.0)) == ['a']
+        assert timers.next_at() is None
--- /dev/null
+++ b/azurepier/wire/gen/messages/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/thrift/azurepier.thrift
@@ -0,0 +1,169 @@
+// Messages between azurepier's own processes. Each message travels in one
+// length-prefixed frame whose first byte names the struct (azurepier.wire).
+// All durations are in milliseconds.
+
+namespace py azurepier.wire.gen.messages
+
+/** First message in both directions of each connection. */
+struct Hello {
+  1: i32 protocol
+  2: string role            // "entry" or "endpoint"
+  3: string name
+  4: string incarnation     // differs for each run of a process
+  5: i64 session            // grows with each connection of an incarnation
+  6: string domain
+  7: string address         // "host:port" for peers; entries only
+  8: string web_address     // callers' base URL; entries only
+  9: i64 config_version
+  10: string worker         // endpoints only, as are all following fields
+  11: i32 slots
+  12: list<string> kinds
+  13: i32 largest_size
+  14: binary nonce          // for the proof of the shared key
+  15: binary proof
+}
+
+/** Second message when a shared key is set: proves knowledge of the key. */
+struct Proof {
+  1: binary mac
+}
+
+struct Heartbeat {
+  1: i64 config_version
+  2: i64 members_version
+  3: i32 queued             // tasks waiting (entries)
+  4: i32 free               // free slots (endpoints)
+}
+
+struct EntryInfo {
+  1: string name
+  2: string incarnation
+  3: string address
+  4: string web_address
+  5: string domain
+  6: bool draining
+}
+
+struct Members {
+  1: i64 version
+  2: list<EntryInfo> entries
+}
+
+/** A whole configuration (base == 0) or the difference from `base`. */
+struct ConfigUpdate {
+  1: i64 version
+  2: i64 base
+  3: binary body
+}
+
+struct ConfigRequest {
+  1: i64 have
+}
+
+struct Start {
+  1: i64 seq                // number of this start on the pair of processes
+  2: string job_id
+  3: i32 task
+  4: string customer
+  5: string kind
+  6: binary payload         // JSON
+  7: bool urgent
+  8: bool long_running      // expected to exceed the limit for short tasks
+  9: bool idempotent
+  10: i32 limit_ms          // time left until the job's deadline
+}
+
+struct StartBatch {
+  1: list<Start> starts
+  2: i32 want               // slots wanted beyond these starts
+  3: list<i64> acked        // outcomes received, by sequence number
+}
+
+struct Want {
+  1: i32 count
+}
+
+struct CancelTasks {
+  1: list<i64> seqs
+}
+
+/** Asks on a new session what became of earlier starts. */
+struct Resume {
+  1: list<i64> open
+}
+
+struct Outcome {
+  1: i64 seq
+  2: i32 status             // see azurepier.kernel.Status
+  3: binary output          // JSON, or the error text
+  4: i32 run_ms
+}
+
+struct OutcomeBatch {
+  1: list<Outcome> outcomes
+  2: i64 granted            // starts allowed in all on this session
+  3: i32 free               // free slots in all
+}
+
+struct Grant {
+  1: i64 granted
+  2: i32 free
+}
+
+struct ResumeReport {
+  1: i64 highest            // highest sequence number ever received
+  2: list<i64> running
+  3: list<Outcome> outcomes
+  4: i64 granted
+  5: i32 free
+}
+
+struct FenceJob {
+  1: i64 query
+  2: string job_id
+}
+
+struct TaskReport {
+  1: i32 task
+  2: bool running
+  3: i32 status
+  4: binary output
+}
+
+struct FenceReport {
+  1: i64 query
+  2: string job_id
+  3: list<TaskReport> tasks
+}
+
+struct Leave {
+  1: string reason
+}
+
+/** A caller's request passed on to the entry that owns the job. */
+struct Forward {
+  1: i64 query
+  2: string action          // "submit", "fetch" or "cancel"
+  3: string job_id
+  4: string customer
+  5: binary body            // JSON of the job, for "submit"
+  6: i32 wait_ms
+}
+
+struct ForwardAnswer {
+  1: i64 query
+  2: binary body            // JSON form of azurepier.kernel.Answer
+}
+
+struct QuotaRequest {
+  1: string customer
+  2: double rate            // task starts per second that are wanted
+  3: i32 concurrent         // running tasks that are wanted
+}
+
+struct QuotaGrant {
+  1: string customer
+  2: double rate
+  3: i32 concurrent
+  4: i32 ttl_ms
+}
