Report resumable state without being asked

An endpoint process sends ResumeReport first on every session, so the Resume request is not needed. Heartbeats and grants also carry the number of long-running tasks that may start, so that entries rarely exceed it.

--- a/azurepier/wire/gen/messages/ttypes.py
+++ b/azurepier/wire/gen/messages/ttypes.py
@@ -338,7 +338,9 @@
      - config_version
      - members_version
      - queued
+     - granted
      - free
+     - long_free
 
     """
 
@@ -346,15 +348,19 @@
         'config_version',
         'members_version',
         'queued',
+        'granted',
         'free',
+        'long_free',
     )
 
 
-    def __init__(self, config_version=None, members_version=None, queued=None, free=None,):
+    def __init__(self, config_version=None, members_version=None, queued=None, granted=None, free=None, long_free=None,):
         self.config_version = config_version
         self.members_version = members_version
         self.queued = queued
+        self.granted = granted
         self.free = free
+        self.long_free = long_free
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -381,10 +387,20 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
+                if ftype == TType.I64:
+                    self.granted = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
                 if ftype == TType.I32:
                     self.free = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.long_free = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -407,10 +423,18 @@
             oprot.writeFieldBegin('queued', TType.I32, 3)
             oprot.writeI32(self.queued)
             oprot.writeFieldEnd()
+        if self.granted is not None:
+            oprot.writeFieldBegin('granted', TType.I64, 4)
+            oprot.writeI64(self.granted)
+            oprot.writeFieldEnd()
         if self.free is not None:
-            oprot.writeFieldBegin('free', TType.I32, 4)
+            oprot.writeFieldBegin('free', TType.I32, 5)
             oprot.writeI32(self.free)
             oprot.writeFieldEnd()
+        if self.long_free is not None:
+            oprot.writeFieldBegin('long_free', TType.I32, 6)
+            oprot.writeI32(self.long_free)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1244,84 +1268,6 @@
         return not (self == other)
 
 
-class Resume(object):
-    """
-    Asks on a new session what became of earlier starts.
-
-    Attributes:
-     - open
-
-    """
-
-    __slots__ = (
-        'open',
-    )
-
-
-    def __init__(self, open=None,):
-        self.open = open
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.LIST:
-                    self.open = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = iprot.readI64()
-                        self.open.append(_elem40)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('Resume')
-        if self.open is not None:
-            oprot.writeFieldBegin('open', TType.LIST, 1)
-            oprot.writeListBegin(TType.I64, len(self.open))
-            for iter41 in self.open:
-                oprot.writeI64(iter41)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class Outcome(object):
     """
     Attributes:
@@ -1432,6 +1378,7 @@
      - outcomes
      - granted
      - free
+     - long_free
 
     """
 
@@ -1439,13 +1386,15 @@
         'outcomes',
         'granted',
         'free',
+        'long_free',
     )
 
 
-    def __init__(self, outcomes=None, granted=None, free=None,):
+    def __init__(self, outcomes=None, granted=None, free=None, long_free=None,):
         self.outcomes = outcomes
         self.granted = granted
         self.free = free
+        self.long_free = long_free
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1459,11 +1408,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.outcomes = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = Outcome()
-                        _elem47.read(iprot)
-                        self.outcomes.append(_elem47)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = Outcome()
+                        _elem40.read(iprot)
+                        self.outcomes.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1477,6 +1426,11 @@
                     self.free = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.long_free = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1490,8 +1444,8 @@
         if self.outcomes is not None:
             oprot.writeFieldBegin('outcomes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.outcomes))
-            for iter48 in self.outcomes:
-                iter48.write(oprot)
+            for iter41 in self.outcomes:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.granted is not None:
@@ -1502,6 +1456,10 @@
             oprot.writeFieldBegin('free', TType.I32, 3)
             oprot.writeI32(self.free)
             oprot.writeFieldEnd()
+        if self.long_free is not None:
+            oprot.writeFieldBegin('long_free', TType.I32, 4)
+            oprot.writeI32(self.long_free)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1532,18 +1490,21 @@
     Attributes:
      - granted
      - free
+     - long_free
 
     """
 
     __slots__ = (
         'granted',
         'free',
+        'long_free',
     )
 
 
-    def __init__(self, granted=None, free=None,):
+    def __init__(self, granted=None, free=None, long_free=None,):
         self.granted = granted
         self.free = free
+        self.long_free = long_free
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1564,6 +1525,11 @@
                     self.free = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.long_free = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1582,6 +1548,10 @@
             oprot.writeFieldBegin('free', TType.I32, 2)
             oprot.writeI32(self.free)
             oprot.writeFieldEnd()
+        if self.long_free is not None:
+            oprot.writeFieldBegin('long_free', TType.I32, 3)
+            oprot.writeI32(self.long_free)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1609,12 +1579,15 @@
 
 class ResumeReport(object):
     """
+    First message of an endpoint on each session.
+
     Attributes:
      - highest
      - running
      - outcomes
      - granted
      - free
+     - long_free
 
     """
 
@@ -1624,15 +1597,17 @@
         'outcomes',
         'granted',
         'free',
+        'long_free',
     )
 
 
-    def __init__(self, highest=None, running=None, outcomes=None, granted=None, free=None,):
+    def __init__(self, highest=None, running=None, outcomes=None, granted=None, free=None, long_free=None,):
         self.highest = highest
         self.running = running
         self.outcomes = outcomes
         self.granted = granted
         self.free = free
+        self.long_free = long_free
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1651,21 +1626,21 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.running = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = iprot.readI64()
-                        self.running.append(_elem54)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readI64()
+                        self.running.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.outcomes = []
-                    (_etype58, _size55) = iprot.readListBegin()
-                    for _i59 in range(_size55):
-                        _elem60 = Outcome()
-                        _elem60.read(iprot)
-                        self.outcomes.append(_elem60)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = Outcome()
+                        _elem53.read(iprot)
+                        self.outcomes.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1679,6 +1654,11 @@
                     self.free = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.long_free = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1696,15 +1676,15 @@
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.LIST, 2)
             oprot.writeListBegin(TType.I64, len(self.running))
-            for iter61 in self.running:
-                oprot.writeI64(iter61)
+            for iter54 in self.running:
+                oprot.writeI64(iter54)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.outcomes is not None:
             oprot.writeFieldBegin('outcomes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.outcomes))
-            for iter62 in self.outcomes:
-                iter62.write(oprot)
+            for iter55 in self.outcomes:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.granted is not None:
@@ -1715,6 +1695,10 @@
             oprot.writeFieldBegin('free', TType.I32, 5)
             oprot.writeI32(self.free)
             oprot.writeFieldEnd()
+        if self.long_free is not None:
+            oprot.writeFieldBegin('long_free', TType.I32, 6)
+            oprot.writeI32(self.long_free)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1967,11 +1951,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.tasks = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = TaskReport()
-                        _elem68.read(iprot)
-                        self.tasks.append(_elem68)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = TaskReport()
+                        _elem61.read(iprot)
+                        self.tasks.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1996,8 +1980,8 @@
         if self.tasks is not None:
             oprot.writeFieldBegin('tasks', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.tasks))
-            for iter69 in self.tasks:
-                iter69.write(oprot)
+            for iter62 in self.tasks:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2104,6 +2088,8 @@
      - customer
      - body
      - wait_ms
+     - hops
+     - detach
 
     """
 
@@ -2114,16 +2100,20 @@
         'customer',
         'body',
         'wait_ms',
+        'hops',
+        'detach',
     )
 
 
-    def __init__(self, query=None, action=None, job_id=None, customer=None, body=None, wait_ms=None,):
+    def __init__(self, query=None, action=None, job_id=None, customer=None, body=None, wait_ms=None, hops=None, detach=None,):
         self.query = query
         self.action = action
         self.job_id = job_id
         self.customer = customer
         self.body = body
         self.wait_ms = wait_ms
+        self.hops = hops
+        self.detach = detach
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2164,6 +2154,16 @@
                     self.wait_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.hops = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.detach = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2198,6 +2198,14 @@
             oprot.writeFieldBegin('wait_ms', TType.I32, 6)
             oprot.writeI32(self.wait_ms)
             oprot.writeFieldEnd()
+        if self.hops is not None:
+            oprot.writeFieldBegin('hops', TType.I32, 7)
+            oprot.writeI32(self.hops)
+            oprot.writeFieldEnd()
+        if self.detach is not None:
+            oprot.writeFieldBegin('detach', TType.BOOL, 8)
+            oprot.writeBool(self.detach)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2527,7 +2535,9 @@
     (1, TType.I64, 'config_version', None, None, ),  # 1
     (2, TType.I64, 'members_version', None, None, ),  # 2
     (3, TType.I32, 'queued', None, None, ),  # 3
-    (4, TType.I32, 'free', None, None, ),  # 4
+    (4, TType.I64, 'granted', None, None, ),  # 4
+    (5, TType.I32, 'free', None, None, ),  # 5
+    (6, TType.I32, 'long_free', None, None, ),  # 6
 )
 all_structs.append(EntryInfo)
 EntryInfo.thrift_spec = (
@@ -2588,11 +2598,6 @@
     None,  # 0
     (1, TType.LIST, 'seqs', (TType.I64, None, False), None, ),  # 1
 )
-all_structs.append(Resume)
-Resume.thrift_spec = (
-    None,  # 0
-    (1, TType.LIST, 'open', (TType.I64, None, False), None, ),  # 1
-)
 all_structs.append(Outcome)
 Outcome.thrift_spec = (
     None,  # 0
@@ -2607,12 +2612,14 @@
     (1, TType.LIST, 'outcomes', (TType.STRUCT, [Outcome, None], False), None, ),  # 1
     (2, TType.I64, 'granted', None, None, ),  # 2
     (3, TType.I32, 'free', None, None, ),  # 3
+    (4, TType.I32, 'long_free', None, None, ),  # 4
 )
 all_structs.append(Grant)
 Grant.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'granted', None, None, ),  # 1
     (2, TType.I32, 'free', None, None, ),  # 2
+    (3, TType.I32, 'long_free', None, None, ),  # 3
 )
 all_structs.append(ResumeReport)
 ResumeReport.thrift_spec = (
@@ -2622,6 +2629,7 @@
     (3, TType.LIST, 'outcomes', (TType.STRUCT, [Outcome, None], False), None, ),  # 3
     (4, TType.I64, 'granted', None, None, ),  # 4
     (5, TType.I32, 'free', None, None, ),  # 5
+    (6, TType.I32, 'long_free', None, None, ),  # 6
 )
 all_structs.append(FenceJob)
 FenceJob.thrift_spec = (
@@ -2658,6 +2666,8 @@
     (4, TType.STRING, 'customer', 'UTF8', None, ),  # 4
     (5, TType.STRING, 'body', 'BINARY', None, ),  # 5
     (6, TType.I32, 'wait_ms', None, None, ),  # 6
+    (7, TType.I32, 'hops', None, None, ),  # 7
+    (8, TType.BOOL, 'detach', None, None, ),  # 8
 )
 all_structs.append(ForwardAnswer)
 ForwardAnswer.thrift_spec = (
--- a/thrift/azurepier.thrift
+++ b/thrift/azurepier.thrift
@@ -13,7 +13,7 @@
   5: i64 session            // grows with each connection of an incarnation
   6: string domain
   7: string address         // "host:port" for peers; entries only
-  8: string web_address     // callers' base URL; entries only
+  8: string web_address     // base URL of the HTTP interface
   9: i64 config_version
   10: string worker         // endpoints only, as are all following fields
   11: i32 slots
@@ -32,7 +32,9 @@
   1: i64 config_version
   2: i64 members_version
   3: i32 queued             // tasks waiting (entries)
-  4: i32 free               // free slots (endpoints)
+  4: i64 granted            // endpoints only, as are the next two fields
+  5: i32 free
+  6: i32 long_free
 }
 
 struct EntryInfo {
@@ -87,11 +89,6 @@
   1: list<i64> seqs
 }
 
-/** Asks on a new session what became of earlier starts. */
-struct Resume {
-  1: list<i64> open
-}
-
 struct Outcome {
   1: i64 seq
   2: i32 status             // see azurepier.kernel.Status
@@ -101,21 +98,25 @@
 
 struct OutcomeBatch {
   1: list<Outcome> outcomes
-  2: i64 granted            // starts allowed in all on this session
-  3: i32 free               // free slots in all
+  2: i64 granted            // ordinary starts allowed in all on this session
+  3: i32 free               // free slots, whoever has the credits for them
+  4: i32 long_free          // long-running tasks that may start
 }
 
 struct Grant {
   1: i64 granted
   2: i32 free
+  3: i32 long_free
 }
 
+/** First message of an endpoint on each session. */
 struct ResumeReport {
   1: i64 highest            // highest sequence number ever received
   2: list<i64> running
   3: list<Outcome> outcomes
   4: i64 granted
   5: i32 free
+  6: i32 long_free
 }
 
 struct FenceJob {
@@ -148,6 +149,8 @@
   4: string customer
   5: binary body            // JSON of the job, for "submit"
   6: i32 wait_ms
+  7: i32 hops               // entries that passed the request on
+  8: bool detach
 }
 
 struct ForwardAnswer {
