--- /dev/null
+++ b/azurepier/exchange/_exchange.py
@@ -0,0 +1,98 @@
+"""Exchange of configurations by version.
+
+Each heartbeat names the version in force at its sender. A process that
+hears of a higher version asks that sender for it; the answer holds only the
+difference where the sender still knows the asker's version.
+"""
+
+import attrs
+
+from azurepier import config
+from azurepier import kernel
+from azurepier.kernel import effects
+from azurepier.kernel import messages
+
+# Configurations kept to compute differences from; a process that is further
+# behind gets the whole configuration.
+RECENT_MAX = 16
+# An unanswered request is repeated, to whichever peer names a higher version.
+ASK_AGAIN_AFTER_S = 1.0
+
+
+@attrs.define
+class Exchange:
+    """Recent configurations by version, and the open request."""
+
+    recent: dict = attrs.field(factory=dict)
+    asked_at: float | None = None
+
+
+def version_in_force(adoption):
+    """Return the version in force, 0 if there is none."""
+    return adoption.current.version if adoption.current else 0
+
+
+def remember(exchange, adoption):
+    """Keep the configuration now in force for computing differences."""
+    current = adoption.current
+    if current is None:
+        return
+    exchange.recent[current.version] = current
+    while len(exchange.recent) > RECENT_MAX:
+        del exchange.recent[min(exchange.recent)]
+
+
+def on_version(exchange, adoption, conn, version, now):
+    """Ask for a configuration that a peer has and this process lacks."""
+    have = version_in_force(adoption)
+    if version <= have:
+        return []
+    asked = exchange.asked_at
+    if asked is not None and now - asked < ASK_AGAIN_AFTER_S:
+        return []
+    exchange.asked_at = now
+    return [effects.Send(conn, messages.ConfigRequest(have=have))]
+
+
+def on_request(exchange, adoption, conn, msg):
+    """Answer a `ConfigRequest`."""
+    current = adoption.current
+    if current is None or current.version <= msg.have:
+        return []
+    base = exchange.recent.get(msg.have)
+    if base is None:
+        body = config.to_json(current)
+    else:
+        body = config.make_delta(base, current)
+    update = messages.ConfigUpdate(
+        version=current.version,
+        base=base.version if base else 0,
+        body=body,
+    )
+    return [effects.Send(conn, update)]
+
+
+def on_update(exchange, adoption, msg):
+    """Take over a configuration from a peer.
+
+    Returns
+    -------
+    bool
+        Whether it is now in force. A difference from another base or an
+        invalid body is ignored; the next heartbeat leads to a new request.
+    """
+    exchange.asked_at = None
+    have = version_in_force(adoption)
+    if msg.version <= have or (msg.base and msg.base != have):
+        return False
+    try:
+        if msg.base:
+            cfg = config.apply_delta(adoption.current, msg.body)
+        else:
+            cfg = config.from_json(msg.body)
+    except kernel.InvalidInputError:
+        return False
+    if not config.adopt(adoption, cfg):
+        return False
+    remember(exchange, adoption)
+    return True
--- a/azurepier/wire/gen/messages/ttypes.py
+++ b/azurepier/wire/gen/messages/ttypes.py
@@ -341,6 +341,8 @@
      - granted
      - free
      - long_free
+     - seen
+     - acked
 
     """
 
@@ -351,16 +353,20 @@
         'granted',
         'free',
         'long_free',
+        'seen',
+        'acked',
     )
 
 
-    def __init__(self, config_version=None, members_version=None, queued=None, granted=None, free=None, long_free=None,):
+    def __init__(self, config_version=None, members_version=None, queued=None, granted=None, free=None, long_free=None, seen=None, acked=None,):
         self.config_version = config_version
         self.members_version = members_version
         self.queued = queued
         self.granted = granted
         self.free = free
         self.long_free = long_free
+        self.seen = seen
+        self.acked = acked
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -401,6 +407,21 @@
                     self.long_free = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.seen = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.acked = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = iprot.readI64()
+                        self.acked.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -435,6 +456,17 @@
             oprot.writeFieldBegin('long_free', TType.I32, 6)
             oprot.writeI32(self.long_free)
             oprot.writeFieldEnd()
+        if self.seen is not None:
+            oprot.writeFieldBegin('seen', TType.I64, 7)
+            oprot.writeI64(self.seen)
+            oprot.writeFieldEnd()
+        if self.acked is not None:
+            oprot.writeFieldBegin('acked', TType.LIST, 8)
+            oprot.writeListBegin(TType.I64, len(self.acked))
+            for iter13 in self.acked:
+                oprot.writeI64(iter13)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -623,11 +655,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = EntryInfo()
-                        _elem12.read(iprot)
-                        self.entries.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = EntryInfo()
+                        _elem19.read(iprot)
+                        self.entries.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -648,8 +680,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter13 in self.entries:
-                iter13.write(oprot)
+            for iter20 in self.entries:
+                iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1048,11 +1080,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.starts = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = Start()
-                        _elem19.read(iprot)
-                        self.starts.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = Start()
+                        _elem26.read(iprot)
+                        self.starts.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1064,10 +1096,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.acked = []
-                    (_etype23, _size20) = iprot.readListBegin()
-                    for _i24 in range(_size20):
-                        _elem25 = iprot.readI64()
-                        self.acked.append(_elem25)
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = iprot.readI64()
+                        self.acked.append(_elem32)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1084,8 +1116,8 @@
         if self.starts is not None:
             oprot.writeFieldBegin('starts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.starts))
-            for iter26 in self.starts:
-                iter26.write(oprot)
+            for iter33 in self.starts:
+                iter33.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.want is not None:
@@ -1095,8 +1127,8 @@
         if self.acked is not None:
             oprot.writeFieldBegin('acked', TType.LIST, 3)
             oprot.writeListBegin(TType.I64, len(self.acked))
-            for iter27 in self.acked:
-                oprot.writeI64(iter27)
+            for iter34 in self.acked:
+                oprot.writeI64(iter34)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1219,10 +1251,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.seqs = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = iprot.readI64()
-                        self.seqs.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readI64()
+                        self.seqs.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1239,8 +1271,8 @@
         if self.seqs is not None:
             oprot.writeFieldBegin('seqs', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.seqs))
-            for iter34 in self.seqs:
-                oprot.writeI64(iter34)
+            for iter41 in self.seqs:
+                oprot.writeI64(iter41)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1379,6 +1411,7 @@
      - granted
      - free
      - long_free
+     - seen
 
     """
 
@@ -1387,14 +1420,16 @@
         'granted',
         'free',
         'long_free',
+        'seen',
     )
 
 
-    def __init__(self, outcomes=None, granted=None, free=None, long_free=None,):
+    def __init__(self, outcomes=None, granted=None, free=None, long_free=None, seen=None,):
         self.outcomes = outcomes
         self.granted = granted
         self.free = free
         self.long_free = long_free
+        self.seen = seen
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1408,11 +1443,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.outcomes = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = Outcome()
-                        _elem40.read(iprot)
-                        self.outcomes.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = Outcome()
+                        _elem47.read(iprot)
+                        self.outcomes.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1431,6 +1466,11 @@
                     self.long_free = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.seen = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1444,8 +1484,8 @@
         if self.outcomes is not None:
             oprot.writeFieldBegin('outcomes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.outcomes))
-            for iter41 in self.outcomes:
-                iter41.write(oprot)
+            for iter48 in self.outcomes:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.granted is not None:
@@ -1460,6 +1500,10 @@
             oprot.writeFieldBegin('long_free', TType.I32, 4)
             oprot.writeI32(self.long_free)
             oprot.writeFieldEnd()
+        if self.seen is not None:
+            oprot.writeFieldBegin('seen', TType.I64, 5)
+            oprot.writeI64(self.seen)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1491,6 +1535,7 @@
      - granted
      - free
      - long_free
+     - seen
 
     """
 
@@ -1498,13 +1543,15 @@
         'granted',
         'free',
         'long_free',
+        'seen',
     )
 
 
-    def __init__(self, granted=None, free=None, long_free=None,):
+    def __init__(self, granted=None, free=None, long_free=None, seen=None,):
         self.granted = granted
         self.free = free
         self.long_free = long_free
+        self.seen = seen
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1530,6 +1577,11 @@
                     self.long_free = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.seen = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1552,6 +1604,10 @@
             oprot.writeFieldBegin('long_free', TType.I32, 3)
             oprot.writeI32(self.long_free)
             oprot.writeFieldEnd()
+        if self.seen is not None:
+            oprot.writeFieldBegin('seen', TType.I64, 4)
+            oprot.writeI64(self.seen)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1626,21 +1682,21 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.running = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = iprot.readI64()
-                        self.running.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readI64()
+                        self.running.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.outcomes = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = Outcome()
-                        _elem53.read(iprot)
-                        self.outcomes.append(_elem53)
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = Outcome()
+                        _elem60.read(iprot)
+                        self.outcomes.append(_elem60)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1676,15 +1732,15 @@
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.LIST, 2)
             oprot.writeListBegin(TType.I64, len(self.running))
-            for iter54 in self.running:
-                oprot.writeI64(iter54)
+            for iter61 in self.running:
+                oprot.writeI64(iter61)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.outcomes is not None:
             oprot.writeFieldBegin('outcomes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.outcomes))
-            for iter55 in self.outcomes:
-                iter55.write(oprot)
+            for iter62 in self.outcomes:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.granted is not None:
@@ -1729,18 +1785,21 @@
     Attributes:
      - query
      - job_id
+     - customer
 
     """
 
     __slots__ = (
         'query',
         'job_id',
+        'customer',
     )
 
 
-    def __init__(self, query=None, job_id=None,):
+    def __init__(self, query=None, job_id=None, customer=None,):
         self.query = query
         self.job_id = job_id
+        self.customer = customer
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1761,6 +1820,11 @@
                     self.job_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.customer = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1779,6 +1843,10 @@
             oprot.writeFieldBegin('job_id', TType.STRING, 2)
             oprot.writeString(self.job_id.encode('utf-8') if sys.version_info[0] == 2 else self.job_id)
             oprot.writeFieldEnd()
+        if self.customer is not None:
+            oprot.writeFieldBegin('customer', TType.STRING, 3)
+            oprot.writeString(self.customer.encode('utf-8') if sys.version_info[0] == 2 else self.customer)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1811,6 +1879,7 @@
      - running
      - status
      - output
+     - check
 
     """
 
@@ -1819,14 +1888,16 @@
         'running',
         'status',
         'output',
+        'check',
     )
 
 
-    def __init__(self, task=None, running=None, status=None, output=None,):
+    def __init__(self, task=None, running=None, status=None, output=None, check=None,):
         self.task = task
         self.running = running
         self.status = status
         self.output = output
+        self.check = check
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1857,6 +1928,11 @@
                     self.output = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.check = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1883,6 +1959,10 @@
             oprot.writeFieldBegin('output', TType.STRING, 4)
             oprot.writeBinary(self.output)
             oprot.writeFieldEnd()
+        if self.check is not None:
+            oprot.writeFieldBegin('check', TType.I64, 5)
+            oprot.writeI64(self.check)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1951,11 +2031,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.tasks = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = TaskReport()
-                        _elem61.read(iprot)
-                        self.tasks.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = TaskReport()
+                        _elem68.read(iprot)
+                        self.tasks.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1980,8 +2060,8 @@
         if self.tasks is not None:
             oprot.writeFieldBegin('tasks', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.tasks))
-            for iter62 in self.tasks:
-                iter62.write(oprot)
+            for iter69 in self.tasks:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2313,10 +2393,21 @@
 
 class QuotaRequest(object):
     """
+    An entry's report to a customer's home entry: what it wants and has.
+
     Attributes:
      - customer
      - rate
      - concurrent
+     - running
+     - kept_rate
+     - kept_concurrent
+     - leased_rate
+     - leased_concurrent
+     - leased_ms
+     - run
+     - sent_at
+     - echo
 
     """
 
@@ -2324,13 +2415,31 @@
         'customer',
         'rate',
         'concurrent',
+        'running',
+        'kept_rate',
+        'kept_concurrent',
+        'leased_rate',
+        'leased_concurrent',
+        'leased_ms',
+        'run',
+        'sent_at',
+        'echo',
     )
 
 
-    def __init__(self, customer=None, rate=None, concurrent=None,):
+    def __init__(self, customer=None, rate=None, concurrent=None, running=None, kept_rate=None, kept_concurrent=None, leased_rate=None, leased_concurrent=None, leased_ms=None, run=None, sent_at=None, echo=None,):
         self.customer = customer
         self.rate = rate
         self.concurrent = concurrent
+        self.running = running
+        self.kept_rate = kept_rate
+        self.kept_concurrent = kept_concurrent
+        self.leased_rate = leased_rate
+        self.leased_concurrent = leased_concurrent
+        self.leased_ms = leased_ms
+        self.run = run
+        self.sent_at = sent_at
+        self.echo = echo
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2356,6 +2465,51 @@
                     self.concurrent = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.running = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.kept_rate = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.kept_concurrent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.DOUBLE:
+                    self.leased_rate = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.leased_concurrent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.leased_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.DOUBLE:
+                    self.run = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.DOUBLE:
+                    self.sent_at = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.DOUBLE:
+                    self.echo = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2378,6 +2532,42 @@
             oprot.writeFieldBegin('concurrent', TType.I32, 3)
             oprot.writeI32(self.concurrent)
             oprot.writeFieldEnd()
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.I32, 4)
+            oprot.writeI32(self.running)
+            oprot.writeFieldEnd()
+        if self.kept_rate is not None:
+            oprot.writeFieldBegin('kept_rate', TType.DOUBLE, 5)
+            oprot.writeDouble(self.kept_rate)
+            oprot.writeFieldEnd()
+        if self.kept_concurrent is not None:
+            oprot.writeFieldBegin('kept_concurrent', TType.I32, 6)
+            oprot.writeI32(self.kept_concurrent)
+            oprot.writeFieldEnd()
+        if self.leased_rate is not None:
+            oprot.writeFieldBegin('leased_rate', TType.DOUBLE, 7)
+            oprot.writeDouble(self.leased_rate)
+            oprot.writeFieldEnd()
+        if self.leased_concurrent is not None:
+            oprot.writeFieldBegin('leased_concurrent', TType.I32, 8)
+            oprot.writeI32(self.leased_concurrent)
+            oprot.writeFieldEnd()
+        if self.leased_ms is not None:
+            oprot.writeFieldBegin('leased_ms', TType.I32, 9)
+            oprot.writeI32(self.leased_ms)
+            oprot.writeFieldEnd()
+        if self.run is not None:
+            oprot.writeFieldBegin('run', TType.DOUBLE, 10)
+            oprot.writeDouble(self.run)
+            oprot.writeFieldEnd()
+        if self.sent_at is not None:
+            oprot.writeFieldBegin('sent_at', TType.DOUBLE, 11)
+            oprot.writeDouble(self.sent_at)
+            oprot.writeFieldEnd()
+        if self.echo is not None:
+            oprot.writeFieldBegin('echo', TType.DOUBLE, 12)
+            oprot.writeDouble(self.echo)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2405,11 +2595,17 @@
 
 class QuotaGrant(object):
     """
+    A lease, or (ttl_ms == 0) the wish for a report.
+
     Attributes:
      - customer
      - rate
      - concurrent
      - ttl_ms
+     - tokens
+     - run
+     - sent_at
+     - echo
 
     """
 
@@ -2418,14 +2614,22 @@
         'rate',
         'concurrent',
         'ttl_ms',
+        'tokens',
+        'run',
+        'sent_at',
+        'echo',
     )
 
 
-    def __init__(self, customer=None, rate=None, concurrent=None, ttl_ms=None,):
+    def __init__(self, customer=None, rate=None, concurrent=None, ttl_ms=None, tokens=None, run=None, sent_at=None, echo=None,):
         self.customer = customer
         self.rate = rate
         self.concurrent = concurrent
         self.ttl_ms = ttl_ms
+        self.tokens = tokens
+        self.run = run
+        self.sent_at = sent_at
+        self.echo = echo
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2456,6 +2660,26 @@
                     self.ttl_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.tokens = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.run = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.DOUBLE:
+                    self.sent_at = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.DOUBLE:
+                    self.echo = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2482,6 +2706,22 @@
             oprot.writeFieldBegin('ttl_ms', TType.I32, 4)
             oprot.writeI32(self.ttl_ms)
             oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.DOUBLE, 5)
+            oprot.writeDouble(self.tokens)
+            oprot.writeFieldEnd()
+        if self.run is not None:
+            oprot.writeFieldBegin('run', TType.DOUBLE, 6)
+            oprot.writeDouble(self.run)
+            oprot.writeFieldEnd()
+        if self.sent_at is not None:
+            oprot.writeFieldBegin('sent_at', TType.DOUBLE, 7)
+            oprot.writeDouble(self.sent_at)
+            oprot.writeFieldEnd()
+        if self.echo is not None:
+            oprot.writeFieldBegin('echo', TType.DOUBLE, 8)
+            oprot.writeDouble(self.echo)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2538,6 +2778,8 @@
     (4, TType.I64, 'granted', None, None, ),  # 4
     (5, TType.I32, 'free', None, None, ),  # 5
     (6, TType.I32, 'long_free', None, None, ),  # 6
+    (7, TType.I64, 'seen', None, None, ),  # 7
+    (8, TType.LIST, 'acked', (TType.I64, None, False), None, ),  # 8
 )
 all_structs.append(EntryInfo)
 EntryInfo.thrift_spec = (
@@ -2613,6 +2855,7 @@
     (2, TType.I64, 'granted', None, None, ),  # 2
     (3, TType.I32, 'free', None, None, ),  # 3
     (4, TType.I32, 'long_free', None, None, ),  # 4
+    (5, TType.I64, 'seen', None, None, ),  # 5
 )
 all_structs.append(Grant)
 Grant.thrift_spec = (
@@ -2620,6 +2863,7 @@
     (1, TType.I64, 'granted', None, None, ),  # 1
     (2, TType.I32, 'free', None, None, ),  # 2
     (3, TType.I32, 'long_free', None, None, ),  # 3
+    (4, TType.I64, 'seen', None, None, ),  # 4
 )
 all_structs.append(ResumeReport)
 ResumeReport.thrift_spec = (
@@ -2636,6 +2880,7 @@
     None,  # 0
     (1, TType.I64, 'query', None, None, ),  # 1
     (2, TType.STRING, 'job_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'customer', 'UTF8', None, ),  # 3
 )
 all_structs.append(TaskReport)
 TaskReport.thrift_spec = (
@@ -2644,6 +2889,7 @@
     (2, TType.BOOL, 'running', None, None, ),  # 2
     (3, TType.I32, 'status', None, None, ),  # 3
     (4, TType.STRING, 'output', 'BINARY', None, ),  # 4
+    (5, TType.I64, 'check', None, None, ),  # 5
 )
 all_structs.append(FenceReport)
 FenceReport.thrift_spec = (
@@ -2681,6 +2927,15 @@
     (1, TType.STRING, 'customer', 'UTF8', None, ),  # 1
     (2, TType.DOUBLE, 'rate', None, None, ),  # 2
     (3, TType.I32, 'concurrent', None, None, ),  # 3
+    (4, TType.I32, 'running', None, None, ),  # 4
+    (5, TType.DOUBLE, 'kept_rate', None, None, ),  # 5
+    (6, TType.I32, 'kept_concurrent', None, None, ),  # 6
+    (7, TType.DOUBLE, 'leased_rate', None, None, ),  # 7
+    (8, TType.I32, 'leased_concurrent', None, None, ),  # 8
+    (9, TType.I32, 'leased_ms', None, None, ),  # 9
+    (10, TType.DOUBLE, 'run', None, None, ),  # 10
+    (11, TType.DOUBLE, 'sent_at', None, None, ),  # 11
+    (12, TType.DOUBLE, 'echo', None, None, ),  # 12
 )
 all_structs.append(QuotaGrant)
 QuotaGrant.thrift_spec = (
@@ -2689,6 +2944,10 @@
     (2, TType.DOUBLE, 'rate', None, None, ),  # 2
     (3, TType.I32, 'concurrent', None, None, ),  # 3
     (4, TType.I32, 'ttl_ms', None, None, ),  # 4
+    (5, TType.DOUBLE, 'tokens', None, None, ),  # 5
+    (6, TType.DOUBLE, 'run', None, None, ),  # 6
+    (7, TType.DOUBLE, 'sent_at', None, None, ),  # 7
+    (8, TType.DOUBLE, 'echo', None, None, ),  # 8
 )
 fix_spec(all_structs)
 del all_structs
--- a/thrift/azurepier.thrift
+++ b/thrift/azurepier.thrift
@@ -35,6 +35,8 @@
   4: i64 granted            // endpoints only, as are the next two fields
   5: i32 free
   6: i32 long_free
+  7: i64 seen
+  8: list<i64> acked        // outcomes received (entries)
 }
 
 struct EntryInfo {
@@ -77,7 +79,7 @@
 
 struct StartBatch {
   1: list<Start> starts
-  2: i32 want               // slots wanted beyond these starts
+  2: i32 want               // slots wanted beyond these starts; -1: as before
   3: list<i64> acked        // outcomes received, by sequence number
 }
 
@@ -101,12 +103,14 @@
   2: i64 granted            // ordinary starts allowed in all on this session
   3: i32 free               // free slots, whoever has the credits for them
   4: i32 long_free          // long-running tasks that may start
+  5: i64 seen               // highest sequence number received
 }
 
 struct Grant {
   1: i64 granted
   2: i32 free
   3: i32 long_free
+  4: i64 seen
 }
 
 /** First message of an endpoint on each session. */
@@ -122,6 +126,7 @@
 struct FenceJob {
   1: i64 query
   2: string job_id
+  3: string customer        // tasks of other customers are not reported
 }
 
 struct TaskReport {
@@ -129,6 +134,7 @@
   2: bool running
   3: i32 status
   4: binary output
+  5: i64 check              // CRC-32 of the task's kind and payload
 }
 
 struct FenceReport {
@@ -158,15 +164,30 @@
   2: binary body            // JSON form of azurepier.kernel.Answer
 }
 
+/** An entry's report to a customer's home entry: what it wants and has. */
 struct QuotaRequest {
   1: string customer
   2: double rate            // task starts per second that are wanted
   3: i32 concurrent         // running tasks that are wanted
-}
-
+  4: i32 running
+  5: double kept_rate       // part of its minimum that the sender keeps
+  6: i32 kept_concurrent
+  7: double leased_rate     // lease in force at the sender
+  8: i32 leased_concurrent
+  9: i32 leased_ms          // time left of that lease
+  10: double run            // names the run of the sending process
+  11: double sent_at        // sender's clock (s), grows with each message
+  12: double echo           // sent_at of the newest grant seen, or 0
+}
+
+/** A lease, or (ttl_ms == 0) the wish for a report. */
 struct QuotaGrant {
   1: string customer
   2: double rate
   3: i32 concurrent
-  4: i32 ttl_ms
+  4: i32 ttl_ms             // counts from the request named by `echo`
+  5: double tokens          // starts that are allowed at once
+  6: double run
+  7: double sent_at
+  8: double echo            // sent_at of the newest request seen, or 0
 }
