--- /dev/null
+++ b/azurepier/placement/_policies.py
@@ -0,0 +1,89 @@
+"""Placement policies: which endpoint gets a task, and when it waits.
+
+A policy is made by a factory `policy(rng)` and is a function
+`choose(ready, need)`. `ready` are the endpoints that can take the task now,
+the fastest first; `need` is a `Need`. The result is one of `ready`, or HOLD
+to keep the task in the queue for a faster endpoint that is about to have a
+free slot.
+"""
+
+import attrs
+
+from azurepier.kernel import registry
+
+HOLD = 'hold'
+# Endpoints whose speeds differ by less than this are taken as equal.
+EQUAL_SPEED = 1.15
+# A task is held only if waiting promises to end it earlier by this factor,
+# because the estimate of the wait is rough.
+HOLD_MARGIN = 1.1
+
+
+@attrs.frozen
+class Need:
+    """What a policy knows of a task.
+
+    Parameters
+    ----------
+    work_s : float
+        Expected work in seconds at speed 1.
+    held : int
+        Tasks that were held before this one in the same pass.
+    turnover : callable
+        `turnover(speed)` returns, for the busy endpoints faster than
+        `speed`, how many of their slots become free per second and their
+        mean speed.
+    """
+
+    work_s: float
+    held: int
+    turnover: object
+
+
+@registry.register('placement', 'expected_completion')
+def expected_completion(rng):
+    """Return the policy that minimises the expected time of completion."""
+
+    def choose(ready, need):
+        best = ready[0]
+        limit = best.speed / EQUAL_SPEED
+        for view in ready[1:]:
+            if view.speed < limit:
+                break
+            if view.credit_share > best.credit_share:
+                best = view
+        rate, speed = need.turnover(best.speed * EQUAL_SPEED)
+        if rate <= 0:
+            return best
+        wait_s = (need.held + 1) / rate
+        if wait_s + need.work_s / speed < need.work_s / (
+            best.speed * HOLD_MARGIN
+        ):
+            return HOLD
+        return best
+
+    return choose
+
+
+@registry.register('placement', 'random')
+def random_choice(rng):
+    """Return the policy that takes any endpoint with a free slot."""
+
+    def choose(ready, need):
+        return rng.choice(ready)
+
+    return choose
+
+
+@registry.register('placement', 'round_robin')
+def round_robin(rng):
+    """Return the policy that takes the endpoints in turn."""
+    turn = 0
+
+    def choose(ready, need):
+        nonlocal turn
+        turn += 1
+        ordered = sorted(ready, key=lambda view: view.name)
+        return ordered[turn % len(ordered)]
+
+    return choose
