Add the entry node and tests of the invariants under faults

The entry owns jobs by the incarnation in their ids, dispatches their tasks and recovers jobs of lost owners from what the endpoints hold.

--- /dev/null
+++ b/azurepier/entry/_callers.py
@@ -0,0 +1,419 @@
+"""Callers' requests: submission, waiting for answers, cancellation."""
+
+import attrs
+
+from azurepier.entry import _dispatch
+from azurepier.entry import _outcomes
+from azurepier.entry import _peers
+from azurepier.entry import _state
+from azurepier import jobs
+from azurepier import kernel
+from azurepier.kernel import effects
+from azurepier import limits
+from azurepier import placement
+from azurepier import queueing
+
+Verdict = kernel.Verdict
+
+# After its start an entry knows few endpoints; until then a job that none
+# of them can run waits.
+SETTLE_S = 5.0
+# Work that a customer may mark urgent beyond its plan's share, in seconds
+# of slot time, so that a few urgent jobs in a row are not demoted.
+URGENT_BURST_S = 20.0
+URGENT_HALF_LIFE_S = 10.0
+RETRY_SOON_S = 1.0
+
+
+def on_new_ids(node, event, now):
+    """Issue a block of job ids."""
+    if node.draining:
+        return [effects.Answer(event.req, _draining(node, ''))]
+    ids = jobs.table.issue(node.table, event.count, now)
+    answer = kernel.Ids(ids, jobs.table.ID_VALIDITY_S)
+    return [effects.Answer(event.req, answer)]
+
+
+def on_submit(node, event, now):
+    """Take a submission from a caller of this entry."""
+    waiter = _state.Waiter(req=event.req)
+    job_id = event.job_id
+    if job_id is None:
+        if node.draining:
+            return [_outcomes.reply(waiter, _draining(node, ''))]
+        job_id = jobs.table.issue(node.table, 1, now)[0]
+    return submit(node, waiter, job_id, event.spec, event.detach, 0, now)
+
+
+def submit(node, waiter, job_id, spec, detach, hops, now):
+    """Submit a job here or pass it to its owner."""
+    parts = kernel.ids.parse(job_id)
+    if parts is None:
+        return [_outcomes.reply(waiter, _unknown(job_id))]
+    if parts.incarnation != node.incarnation:
+        return _peers.pass_on_submit(
+            node, waiter, parts, job_id, spec, detach, hops, now
+        )
+    job = node.table.jobs.get(job_id)
+    if job is not None:
+        return _join(node, waiter, job, spec, detach)
+    refusal = _check_id(node, parts, job_id, now) or _check_job(
+        node, job_id, spec, now
+    )
+    if refusal is not None:
+        if refusal.type in _FINAL_REFUSALS:
+            jobs.table.bury(node.table, parts, refusal.type)
+        return _refused(node, waiter, refusal)
+    return _accept(node, waiter, parts, job_id, spec, detach, now)
+
+
+# A job that was refused for one of these reasons does not start later under
+# the same id, so that the answer `not_run` stays true.
+_FINAL_REFUSALS = frozenset(
+    (
+        'overloaded',
+        'queue-full',
+        'answers-full',
+        'impossible',
+        'job-too-large',
+    )
+)
+
+
+def _refused(node, waiter, refusal):
+    node.count(f'refused_{refusal.type}')
+    return [
+        _outcomes.reply(waiter, refusal),
+        effects.Record('refused_job', refusal.job_id, detail=refusal.type),
+    ]
+
+
+def _unknown(job_id):
+    return kernel.Refused(
+        job_id, 'unknown-job', Verdict.NOT_RUN, 'this id was never issued'
+    )
+
+
+def _draining(node, job_id):
+    return kernel.Refused(
+        job_id,
+        'draining',
+        Verdict.NOT_RUN,
+        'this entry is shutting down',
+        RETRY_SOON_S,
+        _peers.other_web_address(node),
+    )
+
+
+def _join(node, waiter, job, spec, detach):
+    if spec.customer != job.spec.customer or spec.digest != job.spec.digest:
+        refusal = kernel.Refused(
+            job.id,
+            'content-differs',
+            Verdict.NOT_RUN,
+            'another job was submitted under this id',
+        )
+        return [_outcomes.reply(waiter, refusal)]
+    if job.answer is not None:
+        return [_outcomes.reply(waiter, job.answer)]
+    return _wait(node, waiter, job, detach)
+
+
+def _wait(node, waiter, job, detach):
+    if detach:
+        return [_outcomes.reply(waiter, kernel.Accepted(job.id))]
+    job.waiters.append(waiter)
+    if waiter.req is not None:
+        node.pending[waiter.req] = job.waiters
+    return []
+
+
+def _check_id(node, parts, job_id, now):
+    if not kernel.ids.is_authentic(job_id, node.table.secret):
+        return _unknown(job_id)
+    reason = jobs.table.tombstone(node.table, parts)
+    if reason in _FINAL_REFUSALS:
+        return kernel.Refused(
+            job_id,
+            reason,
+            Verdict.NOT_RUN,
+            'the job was refused under this id; submit it under a new one',
+            RETRY_SOON_S,
+        )
+    if reason is not None or jobs.table.is_expired(parts, now):
+        return kernel.Refused(
+            job_id,
+            'expired',
+            Verdict.MAY_HAVE_RUN,
+            'the id has expired; an earlier submission may have run',
+        )
+    return None
+
+
+def _check_job(node, job_id, spec, now):
+    """Return why a new job is refused, or None."""
+    if node.draining:
+        return _draining(node, job_id)
+    cfg = node.adoption.current
+    customer = cfg.customers.get(spec.customer) if cfg else None
+    refuse = _refuser(job_id)
+    if cfg is None:
+        return refuse('not-ready', 'no configuration is known', RETRY_SOON_S)
+    if customer is None:
+        return refuse('unknown-customer', spec.customer)
+    plan = cfg.plans[customer.plan]
+    count = len(spec.tasks)
+    if count > plan.largest_job:
+        detail = f'{count} tasks; the plan allows {plan.largest_job}'
+        return refuse('job-too-large', detail)
+    if node.queued.get(spec.customer, 0) + count > max(plan.queue, count):
+        detail = f'the plan allows {plan.queue} waiting tasks'
+        return refuse('queue-full', detail, RETRY_SOON_S)
+    if jobs.table.is_full(node.table, jobs.table.spec_bytes(spec)):
+        return refuse('answers-full', 'memory is full', RETRY_SOON_S)
+    if not is_possible(node, spec) and now - node.started_at > SETTLE_S:
+        return refuse('impossible', 'no endpoint takes its kinds and sizes')
+    return _check_deadline(node, spec, plan, refuse)
+
+
+def _refuser(job_id):
+    def refuse(error, detail, retry_after_s=None):
+        return kernel.Refused(
+            job_id, error, Verdict.NOT_RUN, detail, retry_after_s
+        )
+
+    return refuse
+
+
+def is_possible(node, spec):
+    """Tell whether the known endpoints could run each task of a job."""
+    views = node.endpoints.values()
+    return all(
+        any(
+            (not view.kinds or kind in view.kinds)
+            and size <= view.largest_size
+            for view in views
+        )
+        for kind, size in {(task.kind, task.size) for task in spec.tasks}
+    )
+
+
+def _works(node, spec):
+    return [
+        placement.estimates.work_of(node.estimates, spec.customer, task)
+        for task in spec.tasks
+    ]
+
+
+def _rate(node):
+    """Return the work per second that this entry's jobs can expect."""
+    capacity = sum(
+        view.slots * view.history.speed
+        for view in node.by_conn.values()
+        if view.ready and not view.leaving
+    )
+    entries = 1 + len({peer.name for peer in node.peers.values()})
+    return max(node.throughput.rate, capacity / entries)
+
+
+def _check_deadline(node, spec, plan, refuse):
+    works = _works(node, spec)
+    ahead = node.queue.ahead(spec.customer, spec.urgent)
+    wait_s = queueing.admission.expected_wait(
+        ahead, sum(works), plan.weight, _rate(node)
+    )
+    left_s = spec.deadline_ms / 1000
+    if ahead.all_s <= 0 or not queueing.admission.misses_deadline(
+        wait_s, 0.0, left_s
+    ):
+        return None
+    retry_s = queueing.admission.retry_after(wait_s, left_s)
+    return refuse(
+        'overloaded', f'the expected wait is {wait_s:.1f} s', retry_s
+    )
+
+
+def _counts_as_urgent(node, spec, work_s, longest_s, now):
+    """Tell whether a job is treated as urgent under its plan."""
+    cfg = node.adoption.current
+    plan = cfg.plans[cfg.customers[spec.customer].plan]
+    use = node.urgent_use.setdefault(spec.customer, UrgentUse(now))
+    decay = 0.5 ** ((now - use.updated_at) / URGENT_HALF_LIFE_S)
+    use.urgent_s *= decay
+    use.total_s = use.total_s * decay + work_s
+    use.updated_at = now
+    allowed = plan.urgent_share * use.total_s + URGENT_BURST_S
+    if not spec.urgent or longest_s > _dispatch.LONG_LIMIT_S:
+        return False
+    if use.urgent_s + work_s > allowed:
+        node.count('urgent_demoted')
+        return False
+    use.urgent_s += work_s
+    return True
+
+
+@attrs.define
+class UrgentUse:
+    """Decaying sums of a customer's urgent and total work (s)."""
+
+    updated_at: float
+    urgent_s: float = 0.0
+    total_s: float = 0.0
+
+
+def _accept(node, waiter, parts, job_id, spec, detach, now):
+    works = _works(node, spec)
+    cfg = node.adoption.current
+    plan = cfg.plans[cfg.customers[spec.customer].plan]
+    urgent = _counts_as_urgent(node, spec, sum(works), max(works), now)
+    waiting = queueing.Waiting(
+        job_id, spec.customer, urgent, plan.weight, now, [], []
+    )
+    queueing.fill(waiting, works)
+    count = len(spec.tasks)
+    job = jobs.Job(
+        id=job_id,
+        number=parts.number,
+        spec=spec,
+        submitted_at=now,
+        deadline_at=now + spec.deadline_ms / 1000,
+        waiting=waiting,
+        outputs=[None] * count,
+        left=count,
+        bytes=jobs.table.spec_bytes(spec),
+    )
+    jobs.table.add(node.table, job)
+    node.queue.push(waiting, now)
+    queued = _outcomes.count_waiting(node, spec.customer, count)
+    limits.demand(node.limits, spec.customer, queued, now)
+    node.timers.set(('deadline', job_id), job.deadline_at)
+    node.timers.set(('late', job_id), _dispatch.late_at(job))
+    node.count('jobs_accepted')
+    node.dirty = True
+    out = [effects.Record('submitted', job_id, detail=spec.customer)]
+    return out + _wait(node, waiter, job, detach)
+
+
+def on_fetch(node, event, now):
+    """Wait for a job's answer for a caller of this entry."""
+    waiter = _state.Waiter(req=event.req)
+    return fetch(
+        node, waiter, event.job_id, event.customer, event.wait_s, 0, now
+    )
+
+
+def fetch(node, waiter, job_id, customer, wait_s, hops, now):
+    """Wait for a job's answer here or pass the request to its owner."""
+    parts = kernel.ids.parse(job_id)
+    if parts is None:
+        return [_outcomes.reply(waiter, _unknown(job_id))]
+    if parts.incarnation != node.incarnation:
+        return _peers.pass_on(
+            node, waiter, parts, 'fetch', job_id, customer, wait_s, hops, now
+        )
+    job = node.table.jobs.get(job_id)
+    if job is None or job.spec.customer != customer:
+        refusal = _check_id(node, parts, job_id, now) or kernel.Refused(
+            job_id, 'unknown-job', Verdict.NOT_RUN, 'no such job'
+        )
+        return [_outcomes.reply(waiter, refusal)]
+    if job.answer is not None:
+        return [_outcomes.reply(waiter, job.answer)]
+    if wait_s <= 0:
+        return [_outcomes.reply(waiter, kernel.Accepted(job_id))]
+    job.waiters.append(waiter)
+    if waiter.req is not None:
+        node.pending[waiter.req] = job.waiters
+    node.timers.set(('fetch', (job_id, waiter)), now + wait_s)
+    return []
+
+
+def on_fetch_timer(node, key, now):
+    """Tell a caller that the job has not ended yet."""
+    job_id, waiter = key
+    job = node.table.jobs.get(job_id)
+    if job is None or waiter not in job.waiters:
+        return []
+    job.waiters.remove(waiter)
+    _outcomes.forget_waiter(node, waiter)
+    return [_outcomes.reply(waiter, kernel.Accepted(job_id))]
+
+
+def on_cancel(node, event, now):
+    """Cancel a job for a caller of this entry."""
+    waiter = _state.Waiter(req=event.req)
+    return cancel(node, waiter, event.job_id, event.customer, 0, now)
+
+
+def cancel(node, waiter, job_id, customer, hops, now):
+    """Cancel a job here or pass the request to its owner."""
+    parts = kernel.ids.parse(job_id)
+    if parts is None:
+        return [_outcomes.reply(waiter, _unknown(job_id))]
+    if parts.incarnation != node.incarnation:
+        return _peers.pass_on(
+            node, waiter, parts, 'cancel', job_id, customer, 0.0, hops, now
+        )
+    job = node.table.jobs.get(job_id)
+    if job is None or job.spec.customer != customer:
+        refusal = _check_id(node, parts, job_id, now)
+        if refusal is None:
+            # The id stays unusable: a submission that arrives after its
+            # own cancellation must not start.
+            jobs.table.bury(node.table, parts, 'expired')
+            refusal = kernel.Refused(
+                job_id, 'cancelled', Verdict.NOT_RUN, 'cancelled before use'
+            )
+        return [_outcomes.reply(waiter, refusal)]
+    out = []
+    if job.answer is None:
+        out = _outcomes.fail_job(
+            node,
+            job,
+            'cancelled',
+            jobs.table.verdict(job),
+            'cancelled by the caller',
+            now,
+        )
+    return [*out, _outcomes.reply(waiter, job.answer)]
+
+
+def on_deadline(node, job_id, now):
+    """Answer a job whose deadline has passed."""
+    job = node.table.jobs.get(job_id)
+    if job is None or job.answer is not None:
+        return []
+    return _outcomes.fail_job(
+        node,
+        job,
+        'deadline',
+        jobs.table.verdict(job),
+        'the deadline has passed',
+        now,
+    )
+
+
+def on_abandon(node, event, now):
+    """Forget a caller that disconnected; its job goes on."""
+    waiters = node.pending.pop(event.req, None)
+    if waiters is not None:
+        waiters[:] = [w for w in waiters if w.req != event.req]
+    return []
+
+
+def on_settled(node, _, now):
+    """Refuse queued jobs that turn out to be impossible."""
+    out = []
+    for job in list(node.table.jobs.values()):
+        if job.answer is None and not is_possible(node, job.spec):
+            if job.exposed or job.open:
+                continue
+            out += _outcomes.fail_job(
+                node,
+                job,
+                'impossible',
+                Verdict.NOT_RUN,
+                'no endpoint takes its kinds and sizes',
+                now,
+            )
+    return out
--- /dev/null
+++ b/azurepier/entry/_node.py
@@ -0,0 +1,388 @@
+"""The entry as a state machine without I/O."""
+
+from azurepier import config
+from azurepier.entry import _callers
+from azurepier.entry import _dispatch
+from azurepier.entry import _endpoints
+from azurepier.entry import _peers
+from azurepier.entry import _state
+from azurepier import exchange
+from azurepier import jobs
+from azurepier import kernel
+from azurepier.kernel import effects
+from azurepier.kernel import events
+from azurepier.kernel import messages
+from azurepier.kernel import registry
+from azurepier import limits
+from azurepier import membership
+
+HEARTBEAT = 'heartbeat'
+QUOTA = 'quota_tick'
+SETTLED = 'settled'
+SECRET_BITS = 256
+
+
+def create(options, rng, now):
+    """Return a new entry node.
+
+    Parameters
+    ----------
+    options : Options
+    rng : random.Random
+        Source of the incarnation and of the key that authenticates job ids;
+        daemons pass `random.SystemRandom`.
+    now : float
+        Time in seconds.
+    """
+    incarnation = kernel.ids.new_incarnation(rng)
+    secret = rng.getrandbits(SECRET_BITS).to_bytes(SECRET_BITS // 8, 'big')
+    node = _state.Entry(
+        options=options,
+        incarnation=incarnation,
+        rng=rng,
+        table=jobs.Table(incarnation, secret),
+        directory=membership.Directory(seeds=tuple(options.seeds)),
+        adoption=config.Adoption(),
+        exchange=exchange.Exchange(),
+        queue=registry.get('queueing', options.queueing)(),
+        choose=registry.get('placement', options.placement)(rng),
+        limits=limits.create(options.name),
+        started_at=now,
+    )
+    limits.set_members(node.limits, {options.name}, now)
+    node.timers.set(HEARTBEAT, now)
+    node.timers.set(QUOTA, now + _peers.QUOTA_INTERVAL_S)
+    node.timers.set(SETTLED, now + _callers.SETTLE_S)
+    return node
+
+
+def handle(node, event, now):
+    """Process one event.
+
+    Returns
+    -------
+    list
+        Effects for the shell, in order.
+    """
+    out = _EVENT_HANDLERS[type(event)](node, event, now)
+    if node.dirty:
+        out += _dispatch.dispatch(node, now)
+    if node.draining:
+        out += _finish_drain(node)
+    return out
+
+
+# Connections -------------------------------------------------------------
+
+
+def _on_connection_up(node, event, now):
+    hello = event.hello
+    connect = _ROLES.get(hello.role)
+    if connect is None or hello.name == node.options.name:
+        return [effects.Close(event.conn)]
+    out = connect(node, event.conn, hello, now)
+    return out + exchange.on_version(
+        node.exchange, node.adoption, event.conn, hello.config_version, now
+    )
+
+
+def _on_connection_lost(node, event, now):
+    view = node.by_conn.get(event.conn)
+    if view is not None:
+        return _endpoints.lost(node, view, now)
+    peer = node.peers.get(event.conn)
+    if peer is not None:
+        return _peers.lost(node, peer, now)
+    return []
+
+
+def _on_received(node, event, now):
+    sender = node.by_conn.get(event.conn)
+    table = _ENDPOINT_MESSAGES
+    if sender is None:
+        sender = node.peers.get(event.conn)
+        table = _PEER_MESSAGES
+    if sender is None:
+        return []
+    handler = table.get(type(event.msg))
+    if handler is None:
+        return [effects.Close(event.conn)]
+    sender.last_heard = now
+    return handler(node, sender, event.msg, now)
+
+
+# Messages of both kinds of peers -----------------------------------------
+
+
+def _on_endpoint_heartbeat(node, view, msg, now):
+    out = _endpoints.on_heartbeat(node, view, msg, now)
+    return out + exchange.on_version(
+        node.exchange, node.adoption, view.conn, msg.config_version, now
+    )
+
+
+def _on_peer_heartbeat(node, peer, msg, now):
+    peer.config_version = msg.config_version
+    return exchange.on_version(
+        node.exchange, node.adoption, peer.conn, msg.config_version, now
+    )
+
+
+def _on_config_request(node, sender, msg, now):
+    return exchange.on_request(node.exchange, node.adoption, sender.conn, msg)
+
+
+def _on_config_update(node, sender, msg, now):
+    if not exchange.on_update(node.exchange, node.adoption, msg):
+        return []
+    return _config_adopted(node, now)
+
+
+def _config_adopted(node, now):
+    """Put a new configuration in force and announce it at once."""
+    cfg = node.adoption.current
+    plans = {
+        name: cfg.plans[customer.plan]
+        for name, customer in cfg.customers.items()
+    }
+    limits.set_plans(node.limits, plans, now)
+    node.dirty = True
+    detail = f'version {cfg.version}'
+    out = [effects.Record('config_adopted', detail=detail)]
+    return out + _heartbeats(node, now)
+
+
+def _on_members(node, peer, msg, now):
+    for info in msg.entries:
+        _peers.learn_entry(node, info, now)
+    return []
+
+
+def _on_forward(node, peer, msg, now):
+    waiter = _state.Waiter(conn=peer.conn, query=msg.query)
+    return _FORWARD_ACTIONS[msg.action](node, waiter, msg, now)
+
+
+def _forwarded_submit(node, waiter, msg, now):
+    spec = jobs.spec_from_json(msg.body)
+    if _must_recover(node, msg):
+        return _peers.recover(node, waiter, msg, now)
+    return _callers.submit(
+        node, waiter, msg.job_id, spec, msg.detach, msg.hops, now
+    )
+
+
+def _forwarded_fetch(node, waiter, msg, now):
+    if _must_recover(node, msg):
+        return _peers.recover(node, waiter, msg, now)
+    return _callers.fetch(
+        node,
+        waiter,
+        msg.job_id,
+        msg.customer,
+        msg.wait_ms / 1000,
+        msg.hops,
+        now,
+    )
+
+
+def _forwarded_cancel(node, waiter, msg, now):
+    if _must_recover(node, msg):
+        return _peers.recover(node, waiter, msg, now)
+    return _callers.cancel(
+        node, waiter, msg.job_id, msg.customer, msg.hops, now
+    )
+
+
+def _must_recover(node, msg):
+    """Tell whether a forwarded request ends here without its owner."""
+    if msg.hops < _peers.HOPS_MAX:
+        return False
+    parts = kernel.ids.parse(msg.job_id)
+    return parts is not None and parts.incarnation != node.incarnation
+
+
+# Platform ----------------------------------------------------------------
+
+
+def _on_members_seen(node, event, now):
+    for info in event.entries:
+        _peers.learn_entry(node, info, now)
+    return _dial(node, now)
+
+
+def _on_config_seen(node, event, now):
+    adopted = config.adopt_body(node.adoption, event.body)
+    if not adopted:
+        return []
+    exchange.remember(node.exchange, node.adoption)
+    return _config_adopted(node, now)
+
+
+# Timers ------------------------------------------------------------------
+
+
+def _on_tick(node, event, now):
+    out = []
+    for key in node.timers.expired(now):
+        name, argument = key if isinstance(key, tuple) else (key, None)
+        out += _TIMER_HANDLERS[name](node, argument, now)
+    return out
+
+
+def _on_heartbeat_timer(node, _, now):
+    node.timers.set(HEARTBEAT, now + membership.HEARTBEAT_INTERVAL_S)
+    out = _drop_silent(node, now)
+    out += _heartbeats(node, now)
+    names = {peer.name for peer in node.peers.values()}
+    membership.forget_stale(node.directory, names, now)
+    jobs.table.expire(node.table, now)
+    _peers.expire_recoveries(node, now)
+    _expire_former(node, now)
+    return out + _dial(node, now)
+
+
+def _expire_former(node, now):
+    limit = now - jobs.table.ID_VALIDITY_S
+    node.former = {
+        name: since for name, since in node.former.items() if since > limit
+    }
+
+
+def _heartbeats(node, now):
+    version = exchange.version_in_force(node.adoption)
+    out = []
+    for view in node.by_conn.values():
+        out += _endpoints.heartbeat_effects(node, view, version, now)
+    for peer in node.peers.values():
+        out += _endpoints.heartbeat_effects(node, peer, version, now)
+    return out
+
+
+def _drop_silent(node, now):
+    out = []
+    for view in list(node.by_conn.values()):
+        if membership.is_silent(view.last_heard, now):
+            out.append(effects.Close(view.conn))
+            out += _endpoints.lost(node, view, now)
+    for peer in list(node.peers.values()):
+        if membership.is_silent(peer.last_heard, now):
+            out.append(effects.Close(peer.conn))
+            out += _peers.lost(node, peer, now)
+    return out
+
+
+def _dial(node, now):
+    own = node.options.name
+    wanted = [
+        info.address
+        for info in membership.entries(node.directory)
+        if info.name != own
+    ]
+    addresses = [a for a in wanted if a != node.options.address]
+    connected = {peer.address for peer in node.peers.values()}
+    connected.add(node.options.address)
+    due = membership.due_dials(
+        node.directory, addresses, connected, now, node.rng
+    )
+    return [effects.Dial(address) for address in due]
+
+
+def _on_give_up(node, incarnation, now):
+    view = node.endpoints.get(incarnation)
+    if view is None or view.conn is not None:
+        return []
+    return _endpoints.remove(node, view, now)
+
+
+def _on_quota_tick(node, _, now):
+    node.timers.set(QUOTA, now + _peers.QUOTA_INTERVAL_S)
+    return _peers.quota_effects(node, now)
+
+
+def _wake(node, _, now):
+    node.dirty = True
+    return []
+
+
+# Drain -------------------------------------------------------------------
+
+
+def _on_drain(node, event, now):
+    if node.draining:
+        return []
+    node.draining = True
+    node.directory.version += 1
+    out = [effects.Record('draining')]
+    return out + _heartbeats(node, now)
+
+
+def _finish_drain(node):
+    if node.stopped or node.table.unfinished or node.forwards:
+        return []
+    if any(r.answer is None for r in node.recoveries.values()):
+        return []
+    if any(view.acked for view in node.by_conn.values()):
+        return []
+    node.stopped = True
+    return [effects.Stopped()]
+
+
+_ROLES = {'endpoint': _endpoints.connected, 'entry': _peers.connected}
+
+_EVENT_HANDLERS = {
+    events.ConnectionUp: _on_connection_up,
+    events.ConnectionLost: _on_connection_lost,
+    events.Received: _on_received,
+    events.Tick: _on_tick,
+    events.Submit: _callers.on_submit,
+    events.Fetch: _callers.on_fetch,
+    events.CancelJob: _callers.on_cancel,
+    events.Abandon: _callers.on_abandon,
+    events.NewIds: _callers.on_new_ids,
+    events.MembersSeen: _on_members_seen,
+    events.ConfigSeen: _on_config_seen,
+    events.Drain: _on_drain,
+}
+
+_ENDPOINT_MESSAGES = {
+    messages.ResumeReport: _endpoints.on_resume_report,
+    messages.OutcomeBatch: _endpoints.on_outcome_batch,
+    messages.Grant: _endpoints.on_grant,
+    messages.Leave: _endpoints.on_leave,
+    messages.Heartbeat: _on_endpoint_heartbeat,
+    messages.FenceReport: _peers.on_fence_report,
+    messages.ConfigRequest: _on_config_request,
+    messages.ConfigUpdate: _on_config_update,
+}
+
+_PEER_MESSAGES = {
+    messages.Heartbeat: _on_peer_heartbeat,
+    messages.Members: _on_members,
+    messages.Forward: _on_forward,
+    messages.ForwardAnswer: _peers.on_forward_answer,
+    messages.QuotaRequest: _peers.on_quota_request,
+    messages.QuotaGrant: _peers.on_quota_grant,
+    messages.ConfigRequest: _on_config_request,
+    messages.ConfigUpdate: _on_config_update,
+}
+
+_FORWARD_ACTIONS = {
+    'submit': _forwarded_submit,
+    'fetch': _forwarded_fetch,
+    'cancel': _forwarded_cancel,
+}
+
+_TIMER_HANDLERS = {
+    HEARTBEAT: _on_heartbeat_timer,
+    QUOTA: _on_quota_tick,
+    SETTLED: _callers.on_settled,
+    'deadline': _callers.on_deadline,
+    'late': _dispatch.on_late,
+    'fetch': _callers.on_fetch_timer,
+    'give_up': _on_give_up,
+    'owner': _peers.on_owner_timer,
+    'recovery': _peers.on_recovery_timer,
+    'probe': _wake,
+    'quota': _wake,
+}
--- /dev/null
+++ b/azurepier/entry/_peers.py
@@ -0,0 +1,352 @@
+"""Other entries: forwarding, recovery of lost owners, quotas."""
+
+from azurepier.entry import _outcomes
+from azurepier.entry import _state
+from azurepier import jobs
+from azurepier import kernel
+from azurepier.kernel import effects
+from azurepier.kernel import messages
+from azurepier import limits
+from azurepier import membership
+
+# An owner that can't be reached for this long is taken as lost.
+OWNER_WAIT_S = 2.0
+HOPS_MAX = 2
+QUOTA_INTERVAL_S = 0.25
+
+
+def connected(node, conn, hello, now):
+    """Take up a connection with another entry."""
+    peer = _state.Peer(
+        name=hello.name,
+        incarnation=hello.incarnation,
+        conn=conn,
+        address=hello.address,
+        last_heard=now,
+    )
+    node.peers[conn] = peer
+    info = messages.EntryInfo(
+        name=hello.name,
+        incarnation=hello.incarnation,
+        address=hello.address,
+        web_address=hello.web_address,
+        domain=hello.domain,
+        draining=False,
+    )
+    learn_entry(node, info, now)
+    _update_limits(node, now)
+    out = [effects.Record('entry_connected', detail=hello.name)]
+    for forwarded in node.forwards.values():
+        if forwarded.incarnation == hello.incarnation:
+            if forwarded.conn is None:
+                out += _send_forward(forwarded, conn)
+    return out
+
+
+def lost(node, peer, now):
+    """Note that the connection to another entry is gone."""
+    node.peers.pop(peer.conn, None)
+    _update_limits(node, now)
+    out = [effects.Record('entry_disconnected', detail=peer.name)]
+    for forwarded in list(node.forwards.values()):
+        if forwarded.conn == peer.conn:
+            forwarded.conn = None
+            forwarded.give_up_at = now + OWNER_WAIT_S
+            _arm(node, forwarded)
+            other = connection_of(node, forwarded.incarnation)
+            if other is not None:
+                out += _send_forward(forwarded, other)
+    _drop_remote_waiters(node, peer.conn)
+    return out
+
+
+def _drop_remote_waiters(node, conn):
+    for job in node.table.jobs.values():
+        if job.waiters:
+            job.waiters[:] = [w for w in job.waiters if w.conn != conn]
+
+
+def _update_limits(node, now):
+    names = {peer.name for peer in node.peers.values()}
+    names.add(node.options.name)
+    limits.set_members(node.limits, names, now)
+
+
+def connection_of(node, incarnation):
+    """Return a connection to an entry incarnation, or None."""
+    for peer in node.peers.values():
+        if peer.incarnation == incarnation:
+            return peer.conn
+    return None
+
+
+def other_web_address(node):
+    """Return the callers' URL of another entry, or an empty string."""
+    connected_names = {peer.name for peer in node.peers.values()}
+    for info in membership.entries(node.directory):
+        if info.name in connected_names and not info.draining:
+            return info.web_address
+    return ''
+
+
+# Forwarding --------------------------------------------------------------
+
+
+def pass_on_submit(node, waiter, parts, job_id, spec, detach, hops, now):
+    """Pass a submission on to the entry that owns its id."""
+    msg = messages.Forward(
+        query=0,
+        action='submit',
+        job_id=job_id,
+        customer=spec.customer,
+        body=jobs.spec_to_json(spec),
+        wait_ms=0,
+        hops=hops + 1,
+        detach=detach,
+    )
+    return _pass_on(node, waiter, parts, msg, now)
+
+
+def pass_on(node, waiter, parts, action, job_id, customer, wait_s, hops, now):
+    """Pass a request other than a submission on to the owner."""
+    msg = messages.Forward(
+        query=0,
+        action=action,
+        job_id=job_id,
+        customer=customer,
+        body=b'',
+        wait_ms=int(wait_s * 1000),
+        hops=hops + 1,
+        detach=False,
+    )
+    return _pass_on(node, waiter, parts, msg, now)
+
+
+def _pass_on(node, waiter, parts, msg, now):
+    if msg.job_id in node.recoveries:
+        return recover(node, waiter, msg, now)
+    if _is_gone(node, parts.incarnation):
+        return _to_recoverer(node, waiter, msg, now)
+    forwarded = _new_forward(node, waiter, msg, parts.incarnation, now)
+    conn = connection_of(node, parts.incarnation)
+    if conn is not None:
+        return _send_forward(forwarded, conn)
+    _arm(node, forwarded)
+    return []
+
+
+def _is_gone(node, incarnation):
+    """Tell whether another incarnation has taken the owner's name.
+
+    An incarnation that this entry never heard of may be one that it will
+    hear of soon, so it is waited for.
+    """
+    return incarnation in node.former
+
+
+def _new_forward(node, waiter, msg, incarnation, now):
+    query = node.next_query
+    node.next_query += 1
+    msg.query = query
+    forwarded = _state.Forwarded(
+        query, waiter, msg, incarnation, now + OWNER_WAIT_S
+    )
+    node.forwards[query] = forwarded
+    if waiter.req is not None:
+        node.pending[waiter.req] = []
+    return forwarded
+
+
+def _arm(node, forwarded):
+    node.timers.set(('owner', forwarded.query), forwarded.give_up_at)
+
+
+def _send_forward(forwarded, conn):
+    forwarded.conn = conn
+    return [effects.Send(conn, forwarded.msg)]
+
+
+def on_owner_timer(node, query, now):
+    """Recover a job whose owner stayed out of reach."""
+    forwarded = node.forwards.get(query)
+    if forwarded is None or forwarded.conn is not None:
+        return []
+    del node.forwards[query]
+    return _to_recoverer(node, forwarded.waiter, forwarded.msg, now)
+
+
+def _to_recoverer(node, waiter, msg, now):
+    """Let one agreed entry recover the job, so that answers agree."""
+    names = {peer.name: peer for peer in node.peers.values()}
+    chosen = membership.first(msg.job_id, {*names, node.options.name})
+    if chosen == node.options.name or msg.hops >= HOPS_MAX:
+        return recover(node, waiter, msg, now)
+    peer = names[chosen]
+    msg.hops = HOPS_MAX
+    forwarded = _new_forward(node, waiter, msg, peer.incarnation, now)
+    return _send_forward(forwarded, peer.conn)
+
+
+def on_forward_answer(node, peer, msg, now):
+    """Hand an owner's answer to the caller."""
+    forwarded = node.forwards.pop(msg.query, None)
+    if forwarded is None:
+        return []
+    node.timers.cancel(('owner', msg.query))
+    _outcomes.forget_waiter(node, forwarded.waiter)
+    answer = jobs.answer_from_json(msg.body)
+    return [_outcomes.reply(forwarded.waiter, answer)]
+
+
+# Recovery ----------------------------------------------------------------
+
+
+def recover(node, waiter, msg, now):
+    """Find the best true answer for a job whose owner is gone."""
+    recovery = node.recoveries.get(msg.job_id)
+    out = []
+    if recovery is None:
+        recovery = _new_recovery(node, msg, now)
+        out += _ask_endpoints(node, recovery, now)
+    elif recovery.customer != msg.customer:
+        return [_outcomes.reply(waiter, _not_known(msg.job_id))]
+    elif recovery.spec is None and msg.body:
+        recovery.spec = jobs.spec_from_json(msg.body)
+    if recovery.answer is not None:
+        return [_outcomes.reply(waiter, recovery.answer)]
+    recovery.waiters.append(waiter)
+    if waiter.req is not None:
+        node.pending[waiter.req] = recovery.waiters
+    return out + _advance(node, recovery, now)
+
+
+def _not_known(job_id):
+    return kernel.Refused(
+        job_id, 'unknown-job', kernel.Verdict.MAY_HAVE_RUN, 'no such job'
+    )
+
+
+def _new_recovery(node, msg, now):
+    spec = jobs.spec_from_json(msg.body) if msg.body else None
+    wait_s = jobs.recovery.WAIT_MAX_S
+    if spec is not None:
+        wait_s = min(spec.deadline_ms / 1000, wait_s)
+    recovery = jobs.Recovery(
+        job_id=msg.job_id,
+        customer=msg.customer,
+        spec=spec,
+        started_at=now,
+        give_up_at=now + wait_s,
+    )
+    node.recoveries[msg.job_id] = recovery
+    node.count('recoveries')
+    return recovery
+
+
+def _ask_endpoints(node, recovery, now):
+    node.recovery_queries.pop(recovery.query, None)
+    recovery.query = node.next_query
+    node.next_query += 1
+    node.recovery_queries[recovery.query] = recovery.job_id
+    recovery.awaited = set(node.by_conn)
+    recovery.round_ends_at = now + jobs.recovery.REPORT_WAIT_S
+    node.timers.set(('recovery', recovery.job_id), recovery.round_ends_at)
+    msg = messages.FenceJob(
+        query=recovery.query,
+        job_id=recovery.job_id,
+        customer=recovery.customer,
+    )
+    return [effects.Send(conn, msg) for conn in recovery.awaited]
+
+
+def on_fence_report(node, view, msg, now):
+    """Take an endpoint's report on a job that is being recovered."""
+    recovery = node.recoveries.get(msg.job_id)
+    if recovery is None or recovery.answer is not None:
+        return []
+    jobs.recovery.take_report(recovery, msg)
+    if msg.query == recovery.query:
+        recovery.awaited.discard(view.conn)
+    return _advance(node, recovery, now)
+
+
+def on_recovery_timer(node, job_id, now):
+    """Conclude a round of reports or ask again while tasks run."""
+    recovery = node.recoveries.get(job_id)
+    if recovery is None or recovery.answer is not None:
+        return []
+    out = _advance(node, recovery, now)
+    if recovery.answer is None:
+        out += _ask_endpoints(node, recovery, now)
+    return out
+
+
+def _advance(node, recovery, now):
+    answer = jobs.recovery.conclude(recovery, now)
+    if answer is None:
+        if not recovery.awaited:
+            at = now + jobs.recovery.ASK_AGAIN_S
+            node.timers.set(('recovery', recovery.job_id), at)
+        return []
+    recovery.answer = answer
+    recovery.ended_at = now
+    recovery.reports = {}
+    node.recovery_queries.pop(recovery.query, None)
+    out = _outcomes.reply_all(node, recovery.waiters, answer)
+    outcome = getattr(answer, 'type', 'complete')
+    out.append(effects.Record('recovered', recovery.job_id, detail=outcome))
+    return out
+
+
+def expire_recoveries(node, now):
+    """Drop recovered answers after the retention period."""
+    old = [
+        job_id
+        for job_id, recovery in node.recoveries.items()
+        if recovery.answer is not None
+        and now - recovery.ended_at > jobs.table.RETAIN_S
+    ]
+    for job_id in old:
+        del node.recoveries[job_id]
+
+
+# Members and quotas ------------------------------------------------------
+
+
+def learn_entry(node, info, now):
+    """Take over what is known of another entry."""
+    if info.name == node.options.name:
+        return
+    known = node.directory.known.get(info.name)
+    if known is not None and known.info.incarnation != info.incarnation:
+        if info.incarnation in node.former:
+            return  # an outdated list that names an earlier incarnation
+        node.former[known.info.incarnation] = now
+    membership.learn(node.directory, info, now)
+
+
+def quota_effects(node, now):
+    """Send the quota messages that are due."""
+    return _to_names(node, limits.on_tick(node.limits, now))
+
+
+def _to_names(node, addressed):
+    conns = {peer.name: peer.conn for peer in node.peers.values()}
+    return [
+        effects.Send(conns[name], msg)
+        for name, msg in addressed
+        if name in conns
+    ]
+
+
+def on_quota_request(node, peer, msg, now):
+    """Lend parts of a customer's limits to another entry."""
+    sent = limits.on_request(node.limits, peer.name, msg, now)
+    return _to_names(node, sent)
+
+
+def on_quota_grant(node, peer, msg, now):
+    """Take over parts of a customer's limits."""
+    node.dirty = True
+    sent = limits.on_grant(node.limits, peer.name, msg, now)
+    return _to_names(node, sent)
--- /dev/null
+++ b/azurepier/entry/_state.py
@@ -0,0 +1,218 @@
+"""State of an entry."""
+
+import random
+import typing
+
+import attrs
+
+from azurepier import config
+from azurepier import exchange
+from azurepier import jobs
+from azurepier import kernel
+from azurepier.kernel import messages
+from azurepier import limits
+from azurepier import membership
+from azurepier import placement
+from azurepier import queueing
+
+PROTOCOL = 1
+
+
+@attrs.frozen
+class Options:
+    """What an entry is told by its settings.
+
+    `placement` and `queueing` name plug-ins; the defaults are the product's
+    and other values serve as baselines in benchmarks.
+    """
+
+    name: str
+    domain: str
+    address: str
+    web_address: str
+    seeds: tuple = ()
+    placement: str = 'expected_completion'
+    queueing: str = 'fair'
+
+
+@attrs.define(eq=False)
+class History:
+    """What was measured of an endpoint; outlives its incarnations."""
+
+    log_speed: placement.estimates.Mean = attrs.field(
+        factory=placement.estimates.Mean
+    )
+    speed: float = 1.0
+    breaker: placement.breaker.Breaker = attrs.field(
+        factory=placement.breaker.Breaker
+    )
+
+
+@attrs.define(eq=False)
+class OpenStart:
+    """A start that was sent and has no outcome yet."""
+
+    job: jobs.Job
+    task: int
+    kind: str
+    work_s: float
+    urgent: bool
+    long_running: bool
+    sent_at: float
+    seq: int
+    endpoint: typing.Any
+
+
+@attrs.define(eq=False)
+class EndpointView:
+    """One endpoint incarnation as this entry sees it.
+
+    `granted` and `sent` count ordinary starts on the session. `free` and
+    `long_free` are the last reported numbers less what was sent since.
+    """
+
+    name: str
+    incarnation: str
+    worker: str
+    domain: str
+    slots: int
+    kinds: frozenset
+    largest_size: int
+    web_address: str
+    last_heard: float
+    conn: int | None = None
+    ready: bool = False
+    leaving: bool = False
+    next_seq: int = 1
+    open: dict[int, OpenStart] = attrs.field(factory=dict)
+    granted: int = 0
+    sent: int = 0
+    free: int = 0
+    long_free: int = 0
+    want: int = 0
+    wanted: int = 0
+    acked: list = attrs.field(factory=list)
+    outbox: list = attrs.field(factory=list)
+    cancels: list = attrs.field(factory=list)
+    history: 'History' = attrs.field(factory=lambda: History())
+    members_version: int = 0
+    config_version: int = 0
+
+    @property
+    def speed(self):
+        """Measured speed relative to the other endpoints."""
+        return self.history.speed
+
+    @property
+    def credit(self):
+        """Ordinary starts that may be sent without being refused."""
+        return self.granted - self.sent
+
+    @property
+    def credit_share(self):
+        """Credit relative to the endpoint's size."""
+        return self.credit / self.slots
+
+
+@attrs.define(eq=False)
+class Peer:
+    """A connection to another entry."""
+
+    name: str
+    incarnation: str
+    conn: int
+    address: str
+    last_heard: float
+    members_version: int = 0
+    config_version: int = 0
+    acked: list = attrs.field(factory=list)
+
+
+@attrs.frozen
+class Waiter:
+    """Who waits for an answer: a caller here or one at another entry."""
+
+    req: int | None = None
+    conn: int | None = None
+    query: int = 0
+
+
+@attrs.define(eq=False)
+class Forwarded:
+    """A caller's request that another entry must answer."""
+
+    query: int
+    waiter: Waiter
+    msg: messages.Forward
+    incarnation: str
+    give_up_at: float
+    conn: int | None = None
+
+
+@attrs.define
+class Entry:
+    """State of the node; see `azurepier.entry.handle`."""
+
+    options: Options
+    incarnation: str
+    rng: random.Random
+    table: jobs.Table
+    directory: membership.Directory
+    adoption: config.Adoption
+    exchange: exchange.Exchange
+    queue: queueing.Discipline
+    choose: typing.Callable
+    limits: limits.Limits
+    started_at: float
+    timers: kernel.Timers = attrs.field(factory=kernel.Timers)
+    estimates: placement.estimates.Estimates = attrs.field(
+        factory=placement.estimates.Estimates
+    )
+    kind_failures: placement.breaker.KindFailures = attrs.field(
+        factory=placement.breaker.KindFailures
+    )
+    throughput: queueing.admission.Throughput = attrs.field(
+        factory=queueing.admission.Throughput
+    )
+    endpoints: dict[str, EndpointView] = attrs.field(factory=dict)
+    by_conn: dict[int, EndpointView] = attrs.field(factory=dict)
+    peers: dict[int, Peer] = attrs.field(factory=dict)
+    forwards: dict[int, Forwarded] = attrs.field(factory=dict)
+    recoveries: dict[str, jobs.Recovery] = attrs.field(factory=dict)
+    recovery_queries: dict[int, str] = attrs.field(factory=dict)
+    former: dict[str, float] = attrs.field(factory=dict)
+    pending: dict[int, list] = attrs.field(factory=dict)
+    histories: dict[str, History] = attrs.field(factory=dict)
+    queued: dict[str, int] = attrs.field(factory=dict)
+    waiting_tasks: int = 0
+    urgent_use: dict = attrs.field(factory=dict)
+    next_query: int = 1
+    dirty: bool = False
+    draining: bool = False
+    stopped: bool = False
+    counters: dict[str, int] = attrs.field(factory=dict)
+
+    def hello(self, session):
+        """Return the first message of a new connection."""
+        opt = self.options
+        return messages.Hello(
+            protocol=PROTOCOL,
+            role='entry',
+            name=opt.name,
+            incarnation=self.incarnation,
+            session=session,
+            domain=opt.domain,
+            address=opt.address,
+            web_address=opt.web_address,
+            config_version=exchange.version_in_force(self.adoption),
+            worker='',
+            slots=0,
+            kinds=[],
+            largest_size=0,
+            nonce=b'',
+            proof=b'',
+        )
+
+    def count(self, name, amount=1):
+        """Add to a counter that the metrics show."""
+        self.counters[name] = self.counters.get(name, 0) + amount
--- /dev/null
+++ b/azurepier/jobs/_codec.py
@@ -0,0 +1,90 @@
+"""JSON forms of jobs and answers for messages between entries."""
+
+import json
+
+from azurepier import kernel
+
+
+def spec_to_json(spec):
+    """Return a `JobSpec` as JSON bytes."""
+    tasks = [
+        [t.kind, t.payload.decode(), t.duration_ms, t.size] for t in spec.tasks
+    ]
+    return json.dumps(
+        {
+            'customer': spec.customer,
+            'tasks': tasks,
+            'deadline_ms': spec.deadline_ms,
+            'urgent': spec.urgent,
+            'idempotent': spec.idempotent,
+            'digest': spec.digest,
+        },
+        separators=(',', ':'),
+    ).encode()
+
+
+def spec_from_json(body):
+    """Return the `JobSpec` that `spec_to_json` encoded."""
+    data = json.loads(body)
+    data['tasks'] = tuple(
+        kernel.TaskSpec(kind, payload.encode(), duration_ms, size)
+        for kind, payload, duration_ms, size in data['tasks']
+    )
+    return kernel.JobSpec(**data)
+
+
+def _complete_to_data(answer):
+    return {
+        'job_id': answer.job_id,
+        'outputs': [output.decode() for output in answer.outputs],
+    }
+
+
+def _complete_from_data(data):
+    outputs = tuple(output.encode() for output in data['outputs'])
+    return kernel.Complete(data['job_id'], outputs)
+
+
+def _accepted_to_data(answer):
+    return {'job_id': answer.job_id, 'state': answer.state}
+
+
+def _refused_to_data(answer):
+    return {
+        'job_id': answer.job_id,
+        'type': answer.type,
+        'verdict': answer.verdict.value,
+        'detail': answer.detail,
+        'retry_after_s': answer.retry_after_s,
+        'location': answer.location,
+    }
+
+
+def _refused_from_data(data):
+    data['verdict'] = kernel.Verdict(data['verdict'])
+    return kernel.Refused(**data)
+
+
+_CODECS = {
+    'complete': (kernel.Complete, _complete_to_data, _complete_from_data),
+    'accepted': (
+        kernel.Accepted,
+        _accepted_to_data,
+        lambda data: kernel.Accepted(**data),
+    ),
+    'refused': (kernel.Refused, _refused_to_data, _refused_from_data),
+}
+_NAMES = {cls: name for name, (cls, _, _) in _CODECS.items()}
+
+
+def answer_to_json(answer):
+    """Return an answer as JSON bytes."""
+    name = _NAMES[type(answer)]
+    data = _CODECS[name][1](answer)
+    return json.dumps([name, data], separators=(',', ':')).encode()
+
+
+def answer_from_json(body):
+    """Return the answer that `answer_to_json` encoded."""
+    name, data = json.loads(body)
+    return _CODECS[name][2](data)
--- /dev/null
+++ b/azurepier/testing/__init__.py
@@ -0,0 +1,21 @@
+"""Virtual-time driver for the nodes, used by tests and benchmarks."""
+
+from azurepier.testing._checks import check_job
+from azurepier.testing._checks import check_no_double_start
+from azurepier.testing._driver import Driver
+from azurepier.testing._driver import Process
+from azurepier.testing._fleet import configuration
+from azurepier.testing._fleet import Fleet
+from azurepier.testing._fleet import make_fleet
+from azurepier.testing._fleet import spec
+
+__all__ = [
+    'Driver',
+    'Fleet',
+    'Process',
+    'check_job',
+    'check_no_double_start',
+    'configuration',
+    'make_fleet',
+    'spec',
+]
