Test the remaining faults and that each promise needs its mechanism

Adds failing workers, impossible jobs, cancellation, drains, memory and configuration, each with a test, and a table that turns a mechanism off and requires the promise to break: without resending rules, tombstones, digests, retained outcomes, versions, breaker, fence and drain the tests fail.

Ruled out: a partition made by silencing one connection, because the entries reconnect within two seconds; the driver got a cut that lasts.

--- /dev/null
+++ b/azurepier/entry/tests/test_faults.py
@@ -0,0 +1,270 @@
+"""Faulty workers, impossible jobs, cancellations, drains, platform outages."""
+
+from azurepier import config
+from azurepier.entry import _callers
+from azurepier.jobs import _table
+from azurepier import kernel
+from azurepier.kernel import events
+from azurepier import testing
+
+Verdict = kernel.Verdict
+
+
+def _run(fleet, seconds):
+    fleet.driver.run_until(fleet.driver.now + seconds)
+
+
+class TestFailingWorker:
+    def _steady_load(self, fleet, seconds):
+        requests = []
+        for _ in range(int(seconds / 0.05)):
+            requests.append(fleet.submit(0, testing.spec([100, 100])))
+            _run(fleet, 0.05)
+        return requests
+
+    def _failures(self, fleet, requests):
+        answers = [fleet.answer(0, req) for req in requests]
+        return sum(isinstance(a, kernel.Refused) for a in answers)
+
+    def test_attracts_no_more_work_within_20_failures(self):
+        # Guards against a worker that takes all work because it fails fast.
+        fleet = testing.make_fleet(entries=1)
+        self._steady_load(fleet, 2.0)
+        fleet.failing.add('endpoint-2')
+        before = sum(fleet.starts.values())
+        requests = self._steady_load(fleet, 10.0)
+        _run(fleet, 2.0)
+        assert sum(fleet.starts.values()) > before
+        assert self._failures(fleet, requests) <= 20
+
+    def test_gets_work_back_after_it_recovers(self):
+        # Guards against a breaker that never closes.
+        fleet = testing.make_fleet(entries=1)
+        self._steady_load(fleet, 2.0)
+        fleet.failing.add('endpoint-2')
+        self._steady_load(fleet, 3.0)
+        fleet.failing.clear()
+        self._steady_load(fleet, 10.0)
+        node = fleet.endpoints[2].node
+        before = node.counters['starts']
+        self._steady_load(fleet, 2.0)
+        assert node.counters['starts'] > before
+
+    def test_a_failing_kind_does_not_close_endpoints(self):
+        # Guards against one customer's faulty jobs stopping all others.
+        fleet = testing.make_fleet(entries=1)
+        for _ in range(200):
+            fleet.submit(0, testing.spec([10], kind='fail'))
+            _run(fleet, 0.02)
+        req = fleet.submit(0, testing.spec([100] * 20))
+        _run(fleet, 5.0)
+        assert isinstance(fleet.answer(0, req), kernel.Complete)
+
+
+class TestImpossibleJob:
+    def _fleet(self):
+        fleet = testing.make_fleet(entries=1, speeds=())
+        fleet.add_endpoint('only', kinds=('sleep',), largest_size=10)
+        return fleet
+
+    def test_is_refused_at_once(self):
+        # Guards against a job that waits for its deadline in vain.
+        fleet = self._fleet()
+        _run(fleet, 10.0)
+        req = fleet.submit(0, testing.spec([50], kind='paint'))
+        answer = fleet.answer(0, req)
+        assert answer.type == 'impossible'
+        assert answer.verdict is Verdict.NOT_RUN
+
+    def test_is_not_refused_by_an_entry_that_has_just_started(self):
+        # Guards against refusing work because the endpoints are not known
+        # yet.
+        fleet = self._fleet()
+        fleet.add_entry('new')
+        _run(fleet, 1.0)
+        req = fleet.submit(1, testing.spec([50], kind='paint'))
+        assert fleet.answer(1, req) is None
+        fleet.add_endpoint('painter', kinds=('paint',))
+        _run(fleet, 8.0)
+        assert isinstance(fleet.answer(1, req), kernel.Complete)
+
+    def test_waiting_job_is_refused_once_the_fleet_is_known(self):
+        # Guards against keeping what was queued during the start.
+        fleet = self._fleet()
+        fleet.add_entry('new')
+        _run(fleet, 1.0)
+        req = fleet.submit(1, testing.spec([50], kind='paint'))
+        assert fleet.answer(1, req) is None
+        _run(fleet, _callers.SETTLE_S)
+        assert fleet.answer(1, req).type == 'impossible'
+
+
+class TestCancellation:
+    def test_a_wave_frees_its_slots_without_a_message_storm(self):
+        # Guards against cancelled work that keeps slots, and against a
+        # message for each cancelled task.
+        fleet = testing.make_fleet(entries=1)
+        times = [5000] * 20
+        specs = [testing.spec(times, deadline_ms=900_000)] * 50
+        ids = [fleet.new_id(0) for _ in specs]
+        requests = [
+            fleet.submit(0, spec, job_id) for spec, job_id in zip(specs, ids)
+        ]
+        _run(fleet, 0.5)
+        for job_id in ids:
+            fleet.request(
+                0,
+                lambda req, job_id=job_id: events.CancelJob(
+                    req, job_id, 'ash'
+                ),
+            )
+        _run(fleet, 0.1)
+        for spec, job_id, req in zip(specs, ids, requests):
+            answer = fleet.answer(0, req)
+            assert answer.type == 'cancelled'
+            testing.check_job(fleet, spec, answer, job_id)
+        assert not any(p.node.running for p in fleet.endpoints)
+        assert fleet.driver.sent['CancelTasks'] <= 24
+        req = fleet.submit(0, testing.spec([50] * 20))
+        _run(fleet, 1.0)
+        assert isinstance(fleet.answer(0, req), kernel.Complete)
+
+    def test_cancellation_before_submission_holds(self):
+        # Guards against a submission that overtakes its own cancellation.
+        fleet = testing.make_fleet(entries=1)
+        job_id = fleet.new_id(0)
+        fleet.request(0, lambda req: events.CancelJob(req, job_id, 'ash'))
+        fleet.submit(0, testing.spec([50]), job_id)
+        _run(fleet, 1.0)
+        assert not fleet.starts
+
+
+class TestDrain:
+    def test_leaving_endpoint_gets_nothing_new_and_finishes(self):
+        # Guards against new starts on an endpoint that is leaving and
+        # against losing what it runs.
+        fleet = testing.make_fleet(entries=2, slots=4)
+        requests = [
+            (n % 2, fleet.submit(n % 2, testing.spec([400] * 6)))
+            for n in range(20)
+        ]
+        _run(fleet, 0.1)
+        leaving = fleet.endpoints[2]
+        before = leaving.node.counters['starts']
+        fleet.driver.feed(leaving, events.Drain())
+        _run(fleet, 0.01)
+        admitted = leaving.node.counters['starts']
+        _run(fleet, 20.0)
+        assert admitted == before == leaving.node.counters['starts']
+        assert leaving.stopped
+        answers = [fleet.answer(*request) for request in requests]
+        assert all(isinstance(a, kernel.Complete) for a in answers)
+
+    def test_draining_entry_answers_what_it_owns(self):
+        # Guards against a shutdown that cuts off requests in flight.
+        fleet = testing.make_fleet(entries=2)
+        spec = testing.spec([300] * 30)
+        req = fleet.submit(0, spec)
+        _run(fleet, 0.05)
+        fleet.driver.feed(fleet.entries[0], events.Drain())
+        refused = fleet.submit(0, testing.spec([50]))
+        answer = fleet.answer(0, refused)
+        assert answer.verdict is Verdict.NOT_RUN
+        assert answer.location == 'http://entry-1'
+        assert not fleet.entries[0].stopped
+        _run(fleet, 10.0)
+        testing.check_job(fleet, spec, fleet.answer(0, req))
+        assert isinstance(fleet.answer(0, req), kernel.Complete)
+        assert fleet.entries[0].stopped
+
+
+class TestMemory:
+    def test_refusal_when_answers_fill_the_memory(self, monkeypatch):
+        # Guards against memory that grows with retained answers, and
+        # against a refusal after the job ran.
+        monkeypatch.setattr(_table, 'BYTES_MAX', 60_000)
+        fleet = testing.make_fleet(entries=1)
+        requests = []
+        for _ in range(200):
+            requests.append(fleet.submit(0, testing.spec([10])))
+            _run(fleet, 0.05)
+        answers = [fleet.answer(0, req) for req in requests]
+        full = [a for a in answers if isinstance(a, kernel.Refused)]
+        assert full
+        assert {a.type for a in full} == {'answers-full'}
+        assert {a.verdict for a in full} == {Verdict.NOT_RUN}
+        assert fleet.entries[0].node.table.bytes <= 60_000
+        _run(fleet, 70.0)
+        req = fleet.submit(0, testing.spec([10]))
+        _run(fleet, 1.0)
+        assert isinstance(fleet.answer(0, req), kernel.Complete)
+
+
+class TestConfiguration:
+    def _versions(self, fleet):
+        nodes = [p.node for p in fleet.entries + fleet.endpoints if p.alive]
+        return {
+            node.adoption.current.version if node.adoption.current else 0
+            for node in nodes
+        }
+
+    def test_spreads_from_one_entry_within_5_s(self):
+        # Guards against processes that only the platform could tell.
+        fleet = testing.make_fleet()
+        body = config.to_json(testing.configuration(version=2))
+        fleet.driver.feed(fleet.entries[1], events.ConfigSeen(body))
+        _run(fleet, 5.0)
+        assert self._versions(fleet) == {2}
+
+    def test_never_reverts(self):
+        # Guards against a stale watch, a restored platform and a peer that
+        # slept.
+        fleet = testing.make_fleet()
+        sleeper = fleet.entries[0]
+        fleet.driver.freeze(sleeper)
+        body = config.to_json(testing.configuration(version=3))
+        fleet.driver.feed(fleet.entries[1], events.ConfigSeen(body))
+        old = config.to_json(testing.configuration(version=2))
+        fleet.driver.feed(fleet.entries[1], events.ConfigSeen(old))
+        fleet.driver.feed(sleeper, events.ConfigSeen(old))
+        _run(fleet, 10.0)
+        fleet.driver.thaw(sleeper)
+        _run(fleet, 5.0)
+        assert self._versions(fleet) == {3}
+
+    def test_process_that_starts_in_an_outage_learns_from_peers(self):
+        # Guards against a restart that loses the newest configuration.
+        fleet = testing.make_fleet()
+        body = config.to_json(testing.configuration(version=4))
+        fleet.driver.feed(fleet.entries[0], events.ConfigSeen(body))
+        _run(fleet, 2.0)
+        for process in list(fleet.entries):
+            fleet.driver.kill(process)
+        fleet.add_entry('entry-2')
+        _run(fleet, 0.1)
+        fleet.add_endpoint('late')
+        _run(fleet, 5.0)
+        assert fleet.entries[2].node.adoption.current is None
+        fleet.driver.kill(fleet.entries[2])
+        fleet.add_entry('entry-0')
+        _run(fleet, 6.0)
+        assert self._versions(fleet) - {0} == {4}
+
+    def test_invalid_value_is_ignored_and_reported(self):
+        # Guards against a broken value in the platform taking effect.
+        fleet = testing.make_fleet()
+        for body in (b'', b'{}', b'[1]', b'{"version": 9}', b'\xff'):
+            fleet.driver.feed(fleet.entries[0], events.ConfigSeen(body))
+        assert fleet.entries[0].node.adoption.rejected
+        assert self._versions(fleet) == {1}
+
+    def test_removed_customer_is_refused_everywhere(self):
+        # Guards against a configuration that is adopted but not applied.
+        fleet = testing.make_fleet()
+        cfg = testing.configuration(version=2, customers=('other',))
+        fleet.configure(cfg)
+        _run(fleet, 1.0)
+        for index in (0, 1):
+            req = fleet.submit(index, testing.spec([50]))
+            answer = fleet.answer(index, req)
+            assert answer.type == 'unknown-customer'
--- /dev/null
+++ b/azurepier/entry/tests/test_mechanisms.py
@@ -0,0 +1,170 @@
+"""Each promise breaks when the mechanism behind it is turned off.
+
+Guards against tests that would pass without the mechanism they are for.
+"""
+
+import pytest
+
+from azurepier import config
+from azurepier.endpoint import _node as endpoint_node
+from azurepier.endpoint import _retention
+from azurepier.entry import _callers
+from azurepier.entry import _outcomes
+from azurepier.entry.tests import test_faults as faults
+from azurepier.entry.tests import test_invariants as invariants
+from azurepier.jobs import _recovery
+from azurepier.jobs import _table
+from azurepier import kernel
+from azurepier.placement import _breaker
+
+Status = kernel.Status
+
+
+def _resend_lost(patch):
+    handlers = _outcomes._STATUS_HANDLERS
+    patch.setitem(handlers, Status.LOST, _outcomes._on_not_run)
+
+
+def _no_tombstones(patch):
+    patch.setattr(_table, 'bury', lambda *args: None)
+
+
+def _no_final_refusals(patch):
+    patch.setattr(_callers, '_FINAL_REFUSALS', frozenset())
+
+
+def _no_digest(patch):
+    patch.setattr(_callers, '_join', _join_any)
+
+
+def _join_any(node, waiter, job, spec, detach):
+    return _callers._wait(node, waiter, job, detach)
+
+
+def _adopt_any(patch):
+    def adopt(adoption, cfg):
+        adoption.current = cfg
+        return True
+
+    patch.setattr(config._adoption, 'adopt', adopt)
+
+
+def _no_breaker(patch):
+    patch.setattr(_breaker, 'OPEN_AFTER', 10**9)
+
+
+def _no_acceptance_wait(patch):
+    patch.setattr(_callers, 'SETTLE_S', -1.0)
+
+
+def _no_resume(patch):
+    def report(node, link, now):
+        link.unacked.clear()
+        return original(node, link, now)
+
+    original = endpoint_node._resume_report
+    patch.setattr(endpoint_node, '_resume_report', report)
+
+
+def _partial_is_complete(patch):
+    patch.setattr(_recovery, '_found_all', lambda recovery: bool(recovery))
+
+
+def _drain_drops_waiting(patch):
+    patch.setattr(endpoint_node, '_finish_drain', _stop_at_once)
+
+
+def _stop_at_once(node, now):
+    return endpoint_node._stop(node) if node.draining else []
+
+
+def _unbounded_memory(patch):
+    patch.setattr(_table, 'is_full', lambda table, extra: False)
+
+
+def _unverified_recovery(patch):
+    patch.setattr(_recovery, '_content_differs', lambda recovery: False)
+
+
+def _no_fence(patch):
+    patch.setattr(_retention, 'fence', lambda *args: None)
+
+
+_PROOF = invariants.TestProofOfNotRun()
+_SUBMISSION = invariants.TestSubmission()
+_RECOVERY = invariants.TestRecovery()
+_WORKER = faults.TestFailingWorker()
+_IMPOSSIBLE = faults.TestImpossibleJob()
+_DRAIN = faults.TestDrain()
+
+MECHANISMS = {
+    'a lost task is not sent again': (
+        _resend_lost,
+        _PROOF.test_dead_endpoint_may_have_run,
+    ),
+    'used ids stay on record': (
+        _no_tombstones,
+        _SUBMISSION.test_nothing_starts_after_retention,
+    ),
+    'refused ids stay refused': (
+        _no_final_refusals,
+        _SUBMISSION.test_refused_id_stays_refused,
+    ),
+    'submissions are compared by digest': (
+        _no_digest,
+        _SUBMISSION.test_other_content_is_refused,
+    ),
+    'outcomes are kept until acknowledged': (
+        _no_resume,
+        _PROOF.test_lost_answer_is_fetched_on_the_next_session,
+    ),
+    'only a higher version is adopted': (
+        _adopt_any,
+        faults.TestConfiguration().test_never_reverts,
+    ),
+    'the breaker opens': (
+        _no_breaker,
+        _WORKER.test_attracts_no_more_work_within_20_failures,
+    ),
+    'a new entry waits before it calls a job impossible': (
+        _no_acceptance_wait,
+        _IMPOSSIBLE.test_is_not_refused_by_an_entry_that_has_just_started,
+    ),
+    'an endpoint that leaves finishes its tasks': (
+        _drain_drops_waiting,
+        _DRAIN.test_leaving_endpoint_gets_nothing_new_and_finishes,
+    ),
+    'recovered results are compared with the submission': (
+        _unverified_recovery,
+        _RECOVERY.test_other_content_is_refused,
+    ),
+    'recovery fences the job': (
+        _no_fence,
+        _RECOVERY.test_nothing_starts_after_the_recovered_answer,
+    ),
+}
+
+
+@pytest.mark.parametrize('name', MECHANISMS)
+class TestMechanism:
+    def test_promise_breaks_without_it(self, name, monkeypatch):
+        turn_off, promise = MECHANISMS[name]
+        promise()
+        turn_off(monkeypatch)
+        with pytest.raises(AssertionError):
+            promise()
+
+
+class TestMemoryBound:
+    def test_promise_breaks_without_it(self, monkeypatch):
+        _unbounded_memory(monkeypatch)
+        scenario = faults.TestMemory()
+        with pytest.raises(AssertionError):
+            scenario.test_refusal_when_answers_fill_the_memory(monkeypatch)
+
+
+class TestPartialAnswers:
+    def test_promise_breaks_without_the_check(self, monkeypatch):
+        _partial_is_complete(monkeypatch)
+        with pytest.raises((AssertionError, KeyError)):
+            invariants.TestRecovery().test_partial_results_fail()
--- a/azurepier/testing/_driver.py
+++ b/azurepier/testing/_driver.py
@@ -71,6 +71,7 @@
     on_platform_read: typing.Callable | None = None
     sent: dict = attrs.field(factory=dict)  # message class name -> count
     records: list | None = None
+    cuts: set = attrs.field(factory=set)
     _heap: list = attrs.field(factory=list)
     _counter: int = 0
     _conns: int = 0
@@ -158,10 +159,21 @@
             if any(process is b for process, _ in link.ends):
                 link.silent = True
 
+    def cut(self, a, b):
+        """Lose all traffic between two processes until `heal`."""
+        self.cuts.add(frozenset((a.name, b.name)))
+        self.silence(a, b)
+
+    def heal(self, a, b):
+        """Let two processes open connections again."""
+        self.cuts.discard(frozenset((a.name, b.name)))
+
     def _connect(self, caller, address):
         callee = self.by_address.get(address)
         if callee is None or not callee.alive or not caller.alive:
             return
+        if frozenset((caller.name, callee.name)) in self.cuts:
+            return
         if callee.frozen or caller.frozen or callee.stopped:
             return
         ends = []
@@ -259,6 +271,7 @@
 
     def _stopped(self, process, effect):
         process.stopped = True
+        self.kill(process)
 
 
 _EFFECTS = {
--- a/azurepier/testing/_fleet.py
+++ b/azurepier/testing/_fleet.py
@@ -13,7 +13,9 @@
 from azurepier.kernel import events
 from azurepier.testing import _driver
 
-SETTLE_S = 2.0
+# A new entry starts nothing while shares of its limits may be in use by
+# others, see `azurepier.limits`.
+SETTLE_S = 7.0
 Status = kernel.Status
 
 
