Add the callers' HTTP interface and the ring of events

Callers and the other packages need a fixed interface before the entry node exists, so the handlers talk to a shell through ask() and are tested with a fake one. Each route goes through one wrapper that turns every exception into a problem document.

The server does not cancel handlers when a caller disconnects; a watcher task does it, so that the shell can send Abandon. Running the request itself in a second task was ruled out: it costs another task per request.

Payloads are encoded with sorted keys, so that the same bytes serve as payload and as input of the content digest.

--- a/azurepier/web/__init__.py
+++ b/azurepier/web/__init__.py
@@ -1,1 +1,13 @@
-"""Placeholder."""
+"""HTTP interface for callers."""
+
+from azurepier.web._app import create_app
+from azurepier.web._parse import parse_ids_request
+from azurepier.web._parse import parse_job
+from azurepier.web._requests import MAX_BODY_BYTES
+
+__all__ = [
+    'MAX_BODY_BYTES',
+    'create_app',
+    'parse_ids_request',
+    'parse_job',
+]
--- /dev/null
+++ b/azurepier/web/_metrics.py
@@ -0,0 +1,69 @@
+"""Measurements of the callers' interface."""
+
+import attrs
+import prometheus_client
+
+# From an answer without work to a job of many long tasks (s).
+_BUCKETS_S = (
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+    60.0,
+    300.0,
+)
+CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST.encode()
+
+
+@attrs.define
+class Metrics:
+    """Metrics of one application.
+
+    `registry` is a prometheus_client.CollectorRegistry.
+    """
+
+    registry: object
+    _responses: object = None
+    _children: dict = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self):
+        self._responses = prometheus_client.Histogram(
+            'azurepier_job_response_seconds',
+            'Time from a submission to its answer.',
+            ('class_', 'outcome'),
+            buckets=_BUCKETS_S,
+            registry=self.registry,
+        )
+
+    def observe(self, class_, outcome, seconds):
+        """Count one answered submission.
+
+        Parameters
+        ----------
+        class_ : str
+            ``urgent``, ``ordinary``, or ``unknown`` if it was not readable.
+        outcome : str
+            ``complete``, ``accepted`` or an error type.
+        seconds : float
+        """
+        # Looking a child up by labels takes longer than the observation.
+        key = (class_, outcome)
+        child = self._children.get(key)
+        if child is None:
+            child = self._responses.labels(class_, outcome)
+            self._children[key] = child
+        child.observe(seconds)
+
+    def exposition(self):
+        """Return all metrics of the registry in Prometheus' text format."""
+        return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/azurepier/web/tests/fakes.py
@@ -0,0 +1,135 @@
+"""A shell without a node, and a caller without a network."""
+
+import asyncio
+import hashlib
+import json
+
+import attrs
+
+from azurepier import config
+from azurepier import kernel
+from azurepier import timeline
+
+TOKEN = 'tok-ash'
+JOB_ID = kernel.ids.make('00000000000000aa', 600, 1, b'secret')
+
+
+def make_config():
+    """Return a configuration: `ash` has a token, `open` has none."""
+    digest = hashlib.sha256(TOKEN.encode()).hexdigest()
+    plan = config.Plan('gold', starts_per_s=100, concurrent=50, queue=1000)
+    customers = [
+        config.Customer('ash', 'gold', digest),
+        config.Customer('open', 'gold'),
+    ]
+    return config.Configuration(
+        7, 'e1', 'op', {c.name: c for c in customers}, {'gold': plan}
+    )
+
+
+@attrs.define
+class FakeNode:
+    """The parts of an entry's state that the web reads."""
+
+    adoption: config.Adoption
+    draining: bool = False
+    incarnation: str = '00000000000000aa'
+
+
+@attrs.define
+class FakeShell:
+    """Answers each event with `answer(event)`, or never if that is None."""
+
+    answer: object
+    node: FakeNode = attrs.field(
+        factory=lambda: FakeNode(config.Adoption(make_config()))
+    )
+    ring: timeline.Ring = attrs.field(
+        factory=lambda: timeline.Ring(10, 'entry-1', 'aa', lambda: 5.0)
+    )
+    events: list = attrs.field(factory=list)
+
+    async def ask(self, factory):
+        event = factory(len(self.events) + 1)
+        self.events.append(event)
+        answer = self.answer(event)
+        if isinstance(answer, Exception):
+            raise answer
+        if answer is not None:
+            return answer
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            self.events.append(kernel.events.Abandon(event.req))
+            raise
+
+    def status(self):
+        return {'queued': 3}
+
+    def config_json(self):
+        return config.to_json(self.node.adoption.current)
+
+
+@attrs.frozen
+class Reply:
+    """What the application sent."""
+
+    status: int
+    headers: dict
+    body: bytes
+
+    def json(self):
+        return json.loads(self.body)
+
+
+def job(**changes):
+    """Return a valid submission with some top-level fields changed."""
+    task = {'kind': 'echo', 'payload': {'b': 1, 'a': [2]}, 'duration_ms': 50}
+    value = {'customer': 'ash', 'deadline_ms': 5000, 'tasks': [task]}
+    return value | changes
+
+
+def call(app, method, path, body=b'', token=TOKEN, headers=(), gone=False):
+    """Send one request through ASGI and return its `Reply`.
+
+    `body` is bytes, a list of chunks, or a JSON value. With `gone` the
+    caller disconnects after the body.
+    """
+    if not isinstance(body, (bytes, list)):
+        body = json.dumps(body).encode()
+    chunks = body if isinstance(body, list) else [body]
+    path, _, query = path.partition('?')
+    if token:
+        auth = (b'authorization', f'Bearer {token}'.encode())
+        headers = [*headers, auth]
+    scope = {
+        'type': 'http',
+        'method': method,
+        'path': path,
+        'raw_path': path.encode(),
+        'query_string': query.encode(),
+        'headers': list(headers),
+    }
+    return asyncio.run(_exchange(app, scope, chunks, gone))
+
+
+async def _exchange(app, scope, chunks, gone):
+    pending = [
+        {'type': 'http.request', 'body': chunk, 'more_body': i < len(chunks)}
+        for i, chunk in enumerate(chunks, 1)
+    ]
+    if gone:
+        pending.append({'type': 'http.disconnect'})
+    sent = []
+
+    async def receive():
+        if not pending:
+            await asyncio.Event().wait()
+        return pending.pop(0)
+
+    async def send(message):
+        sent.append(message)
+
+    await app(scope, receive, send)
+    body = b''.join(message.get('body', b'') for message in sent)
+    return Reply(sent[0]['status'], dict(sent[0]['headers']), body)
