--- a/benchmarks/_simulate.py
+++ b/benchmarks/_simulate.py
@@ -1,6 +1,7 @@
 """Runs a trace through real nodes on virtual time."""
 
 import json
+import time
 
 import attrs
 
@@ -63,12 +64,17 @@
 
 @attrs.define
 class Run:
-    """What was observed of a trace."""
+    """What was observed of a trace.
+
+    `submit_cpu_s` is the processor time of the entry for each submission;
+    virtual time doesn't contain it.
+    """
 
     trace: object
     answers: dict = attrs.field(factory=dict)  # by job number
     spans: list = attrs.field(factory=list)
     traffic: object = None
+    submit_cpu_s: list = attrs.field(factory=list)
 
 
 def simulate(trace, policy=DEFAULT, window=None):
@@ -153,7 +159,10 @@
     def submit(job):
         # An answer may come before `submit` returns.
         open_jobs[fleet.next_req] = job
-        fleet.submit(job.entry, _workload.spec_of(job))
+        spec = _workload.spec_of(job)
+        began = time.process_time()
+        fleet.submit(job.entry, spec)
+        run.submit_cpu_s.append(time.process_time() - began)
 
     def on_answer(process, req, body):
         job = open_jobs.pop(req)
--- a/benchmarks/bench_response.py
+++ b/benchmarks/bench_response.py
@@ -3,7 +3,7 @@
 Run with::
 
     python -m benchmarks.bench_response [--deployment prydderch] [--seed 1]
-        [--duration 120] [--baselines]
+        [--duration 120] [--placement random] [--queueing fifo] [--baselines]
 """
 
 import click
