Merge and draw the events of several processes

Wall clocks of the processes differ, so ordering by time alone shows tasks that end before they start. The merge keeps the order within each process, puts known causes before their effects, and estimates each clock's offset from the bounds that causes give; clocks that contradict no cause are left alone. Ordering by a vector clock was ruled out: it needs a field in each message.

Pairs of starts and reports are matched from the latest backwards, because a ring that has wrapped has lost the oldest ones.

--- a/azurepier/timeline/__init__.py
+++ b/azurepier/timeline/__init__.py
@@ -1,5 +1,8 @@
-"""Events of all processes, kept per process and merged into one line."""
+"""Events of all processes, kept per process and merged into one order."""
 
+from azurepier.timeline._merge import merge
+from azurepier.timeline._render import as_html
+from azurepier.timeline._render import as_text
 from azurepier.timeline._ring import Event
 from azurepier.timeline._ring import from_dict
 from azurepier.timeline._ring import Ring
@@ -8,6 +11,9 @@
 __all__ = [
     'Event',
     'Ring',
+    'as_html',
+    'as_text',
     'from_dict',
+    'merge',
     'to_dict',
 ]
