Dispatch new jobs through one leading entry

Cause: with three entries each knew a third of the free slots.

Change: all entries accept requests, but new jobs are owned by the entry that comes first in a rendezvous hash of the live entries; endpoints give their credits to it. Nothing depends on the agreement but efficiency. Waiting for a faster endpoint is now decided from the expected ends of running tasks, a customer's turn from size, age and service received, and shorter tasks of a job may start while longer ones wait for a faster endpoint.

Ruled out: borrowing slots that were reported free (26 % refusals), and holding tasks by mean turnover (fast workers at 98 %, slow ones at 20 %).

--- a/azurepier/endpoint/_credits.py
+++ b/azurepier/endpoint/_credits.py
@@ -40,18 +40,27 @@
     return [link for link in node.links.values() if link.conn is not None]
 
 
-def _next_receiver(links, owner):
+def _receivers(node):
+    """Return the entries that credits go to.
+
+    Credits go to the entries that dispatch new jobs. Others need some only
+    for jobs that they still own, and ask for them.
+    """
+    links = _connected(node)
+    return [link for link in links if link.active] or links
+
+
+def _next_receiver(waiting, receivers, owner):
     """Choose the entry that gets the next credit.
 
     Entries that asked for slots come first. Otherwise the credit goes to
     the entry with the fewest; it stays with `owner` while the difference is
     at most one, so that no message is needed.
     """
-    waiting = [link for link in links if link.wants > 0]
     if waiting:
         return max(waiting, key=lambda link: link.wants - link.credit)
-    fewest = min(links, key=lambda link: link.credit)
-    if owner in links and owner.credit <= fewest.credit + 1:
+    fewest = min(receivers, key=lambda link: link.credit)
+    if owner in receivers and owner.credit <= fewest.credit + 1:
         return owner
     return fewest
 
@@ -76,8 +85,10 @@
         return set()
     spare = ordinary_free(node) - sum(link.credit for link in links)
     told = set()
+    receivers = _receivers(node) if spare > 0 else ()
     for _ in range(spare):
-        link = _next_receiver(links, owner)
+        waiting = [link for link in links if link.wants > 0]
+        link = _next_receiver(waiting, receivers, owner)
         link.granted += 1
         if link.wants > 0:
             link.wants -= 1
@@ -147,9 +158,36 @@
     return {link.incarnation} if moved else set()
 
 
+def update_role(node, link, active, queued):
+    """Take over from a heartbeat whether an entry needs credits.
+
+    An entry that neither dispatches new jobs nor has waiting tasks returns
+    its credits; otherwise slots would stay idle with it.
+
+    Returns
+    -------
+    set of str
+        Incarnations of the entries whose credits changed and must be told.
+    """
+    link.active = active
+    receivers = _receivers(node)
+    if link not in receivers and not queued:
+        link.wants = 0
+        link.granted = link.received
+    before = {other.incarnation: other.granted for other in receivers}
+    distribute(node)
+    return {
+        other.incarnation
+        for other in receivers
+        if other.granted != before[other.incarnation]
+    }
+
+
 def share_with(node, link):
     """Give a newly connected entry its part of the existing credits."""
-    links = _connected(node)
+    links = _receivers(node)
+    if link not in links:
+        return
     fair = ordinary_free(node) // len(links)
     while link.credit < fair:
         donor = max(links, key=lambda other: other.credit)
--- a/azurepier/endpoint/_node.py
+++ b/azurepier/endpoint/_node.py
@@ -122,6 +122,7 @@
     node.by_conn.pop(link.conn, None)
     link.conn = None
     link.granted = link.received = link.wants = 0
+    link.active = False
     link.lost_at = now
     if not node.by_conn:
         node.no_entry_since = now
@@ -271,7 +272,9 @@
 
 def _on_heartbeat(node, link, msg, now):
     _acknowledge(link, msg.acked)
-    out = exchange.on_version(
+    told = _credits.update_role(node, link, msg.active, msg.queued)
+    out = _credits.tell(node, told, now)
+    out += exchange.on_version(
         node.exchange, node.adoption, link.conn, msg.config_version, now
     )
     return out + _finish_drain(node, now)
@@ -403,6 +406,7 @@
         long_free=_credits.long_free(node, now),
         seen=link.highest,
         acked=[],
+        active=False,
     )
 
 
--- a/azurepier/endpoint/_state.py
+++ b/azurepier/endpoint/_state.py
@@ -53,6 +53,7 @@
     granted: int = 0
     received: int = 0
     wants: int = 0
+    active: bool = False
     unacked: dict = attrs.field(factory=dict)
     outbox: list = attrs.field(factory=list)
     members: tuple = ()
--- a/azurepier/entry/_callers.py
+++ b/azurepier/entry/_callers.py
@@ -3,6 +3,7 @@
 import attrs
 
 from azurepier.entry import _dispatch
+from azurepier.entry import _leader
 from azurepier.entry import _outcomes
 from azurepier.entry import _peers
 from azurepier.entry import _state
@@ -26,23 +27,43 @@
 
 
 def on_new_ids(node, event, now):
-    """Issue a block of job ids."""
+    """Get a block of job ids from the entry that dispatches new jobs."""
+    waiter = _state.Waiter(req=event.req)
+    leader = _leader.find(node, now)
+    if leader is not None:
+        return _peers.ask_for_ids(node, waiter, leader, event.count, now)
+    return issue_ids(node, waiter, event.count, now)
+
+
+def issue_ids(node, waiter, count, now):
+    """Issue a block of job ids that this entry owns."""
     if node.draining:
-        return [effects.Answer(event.req, _draining(node, ''))]
-    ids = jobs.table.issue(node.table, event.count, now)
+        return [_outcomes.reply(waiter, _draining(node, ''))]
+    ids = jobs.table.issue(node.table, count, now)
     answer = kernel.Ids(ids, jobs.table.ID_VALIDITY_S)
-    return [effects.Answer(event.req, answer)]
+    return [_outcomes.reply(waiter, answer)]
 
 
 def on_submit(node, event, now):
     """Take a submission from a caller of this entry."""
     waiter = _state.Waiter(req=event.req)
-    job_id = event.job_id
-    if job_id is None:
-        if node.draining:
-            return [_outcomes.reply(waiter, _draining(node, ''))]
-        job_id = jobs.table.issue(node.table, 1, now)[0]
-    return submit(node, waiter, job_id, event.spec, event.detach, 0, now)
+    spec, detach = event.spec, event.detach
+    if event.job_id is not None:
+        return submit(node, waiter, event.job_id, spec, detach, 0, now)
+    if node.draining:
+        return [_outcomes.reply(waiter, _draining(node, ''))]
+    leader = _leader.find(node, now)
+    if leader is not None:
+        return _peers.submit_to(node, waiter, leader, spec, detach, now)
+    return submit_new(node, waiter, spec, detach, now)
+
+
+def submit_new(node, waiter, spec, detach, now):
+    """Submit a job under a new id of this entry."""
+    if node.draining:
+        return [_outcomes.reply(waiter, _draining(node, ''))]
+    job_id = jobs.table.issue(node.table, 1, now)[0]
+    return submit(node, waiter, job_id, spec, detach, 0, now)
 
 
 def submit(node, waiter, job_id, spec, detach, hops, now):
--- a/azurepier/entry/_dispatch.py
+++ b/azurepier/entry/_dispatch.py
@@ -14,12 +14,14 @@
 
 # A task that is expected to take longer counts as long-running.
 LONG_LIMIT_S = 1.0
-# Free slots that ordinary tasks leave on each endpoint; see the endpoint's
-# reserve for urgent work.
-URGENT_RESERVE = 1
 # Tasks that are held for faster endpoints before a pass ends.
-HELD_MAX = 64
+HELD_MAX = 500
+# Tasks of a job that are tried in a pass.
+SKIPPED_MAX = 32
 NO_CHANGE = -1
+# Slots of an endpoint for which there are no credits; see
+# `azurepier.endpoint`.
+RESERVED = 1
 # Estimates are rough, so a job is given up only when even this share of the
 # expected run time no longer fits.
 LATE_SHARE = 0.3
@@ -47,14 +49,15 @@
     out = []
     if not ready:
         return out
-    turnover = _turnover(node)
+    plan = _plan(node, now)
     held = 0
     candidates = node.queue.candidates()
     try:
         waiting = next(candidates)
         while ready and held < HELD_MAX:
-            placed = _place(node, waiting, ready, held, turnover, now, out)
-            held += placed is Placed.BLOCKED
+            placed = _place(node, waiting, ready, plan, now, out)
+            if placed is Placed.BLOCKED:
+                held += len(waiting.tasks)
             waiting = candidates.send(placed)
     except StopIteration:
         pass
@@ -77,12 +80,20 @@
     return ready
 
 
-def _takes_ordinary(view):
-    return view.credit > 0 or view.free > URGENT_RESERVE
+def _plan(node, now):
+    views = [
+        view
+        for view in node.by_conn.values()
+        if view.ready
+        and not view.leaving
+        and view.history.breaker.open_until is None
+    ]
+    views.sort(key=lambda view: -view.history.speed)
+    return placement.Plan(views, now)
 
 
 def _can_run(view, spec, urgent, long_running):
-    if not urgent and not _takes_ordinary(view):
+    if not urgent and view.credit <= 0:
         return False
     if long_running and view.long_free <= 0:
         return False
@@ -91,28 +102,7 @@
     return spec.size <= view.largest_size
 
 
-def _turnover(node):
-    """Return a function that tells how soon faster slots become free."""
-    work_s = max(node.estimates.overall.value, 1e-3)
-    busy = [
-        (view.history.speed, len(view.open))
-        for view in node.by_conn.values()
-        if view.ready and not view.leaving and view.open
-    ]
-
-    def turnover(speed):
-        rate = total = weighted = 0.0
-        for other, count in busy:
-            if other > speed:
-                rate += count * other / work_s
-                total += count
-                weighted += count * other
-        return rate, (weighted / total if total else 0.0)
-
-    return turnover
-
-
-def _place(node, waiting, ready, held, turnover, now, out):
+def _place(node, waiting, ready, plan, now, out):
     job = node.table.jobs[waiting.job_id]
     customer = waiting.customer
     if not limits.may_start(node.limits, customer, now):
@@ -120,29 +110,53 @@
         if at is not None:
             node.timers.set(('quota', customer), at)
         return Placed.CUSTOMER_BLOCKED
-    task = queueing.next_task(waiting)
-    spec = job.spec.tasks[task]
-    work_s = waiting.work[task]
-    long_running = work_s > LONG_LIMIT_S
-    able = [
-        view
-        for view in ready
-        if _can_run(view, spec, waiting.urgent, long_running)
-    ]
-    if not able:
-        return Placed.BLOCKED
-    need = placement.Need(work_s, held, turnover)
-    view = node.choose(able, need)
-    if view is placement.HOLD:
+    found = _choose(node, waiting, job, ready, plan)
+    if found is None:
         return Placed.BLOCKED
-    queueing.pop_task(waiting)
-    _start(node, view, job, task, work_s, long_running, now)
+    index, view = found
+    task = queueing.pop_task(waiting, index)
+    work_s = waiting.work[task]
+    _start(node, view, job, task, work_s, work_s > LONG_LIMIT_S, now)
     out.append(effects.Record('start', job.id, task, view.name))
     if view.free <= 0 or view.history.breaker.probing:
         ready.remove(view)
     return Placed.STARTED
 
 
+def _choose(node, waiting, job, ready, plan):
+    """Choose a task of a job and an endpoint for it.
+
+    The longest task comes first. If it is held for a faster endpoint, a
+    shorter one, which would wait behind it, may still start now.
+
+    Returns
+    -------
+    tuple of (int, EndpointView) or None
+        Index in `waiting.tasks` and the endpoint.
+    """
+    able = previous = None
+    count = len(waiting.tasks)
+    for skipped in range(min(count, SKIPPED_MAX)):
+        task = waiting.tasks[-1 - skipped]
+        spec = job.spec.tasks[task]
+        work_s = waiting.work[task]
+        wanted = (spec.kind, spec.size)
+        if wanted != previous:
+            previous = wanted
+            able = [
+                view
+                for view in ready
+                if _can_run(view, spec, waiting.urgent, work_s > LONG_LIMIT_S)
+            ]
+        if not able:
+            continue
+        need = placement.Need(work_s, plan)
+        view = node.choose(able, need)
+        if view is not placement.HOLD:
+            return count - 1 - skipped, view
+    return None
+
+
 def _start(node, view, job, task, work_s, long_running, now):
     spec = job.spec
     urgent = job.waiting.urgent
@@ -184,7 +198,9 @@
     slots = sum(view.slots for view in views)
     for view in views:
         share = node.waiting_tasks * view.slots / slots
-        view.want = min(math.ceil(share), view.slots)
+        held = view.credit + len(view.open)
+        missing = max(view.slots - RESERVED - held, 0)
+        view.want = min(math.ceil(share), missing)
 
 
 def _flush(node):
--- a/azurepier/entry/_endpoints.py
+++ b/azurepier/entry/_endpoints.py
@@ -175,7 +175,7 @@
     return []
 
 
-def heartbeat_effects(node, view, config_version, now):
+def heartbeat_effects(node, view, config_version, active):
     """Return the heartbeat, and the member list if it has changed."""
     out = []
     heartbeat = messages.Heartbeat(
@@ -187,6 +187,7 @@
         long_free=0,
         seen=0,
         acked=view.acked,
+        active=active,
     )
     view.acked = []
     out.append(effects.Send(view.conn, heartbeat))
--- a/azurepier/entry/_node.py
+++ b/azurepier/entry/_node.py
@@ -4,6 +4,7 @@
 from azurepier.entry import _callers
 from azurepier.entry import _dispatch
 from azurepier.entry import _endpoints
+from azurepier.entry import _leader
 from azurepier.entry import _peers
 from azurepier.entry import _state
 from azurepier import exchange
@@ -123,6 +124,7 @@
 
 def _on_peer_heartbeat(node, peer, msg, now):
     peer.config_version = msg.config_version
+    peer.eligible = msg.active
     return exchange.on_version(
         node.exchange, node.adoption, peer.conn, msg.config_version, now
     )
@@ -165,6 +167,8 @@
 
 def _forwarded_submit(node, waiter, msg, now):
     spec = jobs.spec_from_json(msg.body)
+    if not msg.job_id:
+        return _callers.submit_new(node, waiter, spec, msg.detach, now)
     if _must_recover(node, msg):
         return _peers.recover(node, waiter, msg, now)
     return _callers.submit(
@@ -194,6 +198,10 @@
     )
 
 
+def _forwarded_ids(node, waiter, msg, now):
+    return _callers.issue_ids(node, waiter, msg.count, now)
+
+
 def _must_recover(node, msg):
     """Tell whether a forwarded request ends here without its owner."""
     if msg.hops < _peers.HOPS_MAX:
@@ -251,11 +259,13 @@
 
 def _heartbeats(node, now):
     version = exchange.version_in_force(node.adoption)
+    node.leads = _leader.find(node, now) is None
+    eligible = _leader.is_eligible(node, now)
     out = []
     for view in node.by_conn.values():
-        out += _endpoints.heartbeat_effects(node, view, version, now)
+        out += _endpoints.heartbeat_effects(node, view, version, node.leads)
     for peer in node.peers.values():
-        out += _endpoints.heartbeat_effects(node, peer, version, now)
+        out += _endpoints.heartbeat_effects(node, peer, version, eligible)
     return out
 
 
@@ -371,6 +381,7 @@
     'submit': _forwarded_submit,
     'fetch': _forwarded_fetch,
     'cancel': _forwarded_cancel,
+    'ids': _forwarded_ids,
 }
 
 _TIMER_HANDLERS = {
--- a/azurepier/entry/_peers.py
+++ b/azurepier/entry/_peers.py
@@ -92,15 +92,46 @@
 # Forwarding --------------------------------------------------------------
 
 
+def _forward(action, **fields):
+    defaults = {
+        'query': 0,
+        'job_id': '',
+        'customer': '',
+        'body': b'',
+        'wait_ms': 0,
+        'hops': 1,
+        'detach': False,
+        'count': 0,
+    }
+    return messages.Forward(action=action, **{**defaults, **fields})
+
+
+def ask_for_ids(node, waiter, leader, count, now):
+    """Ask the leader for a block of job ids."""
+    msg = _forward('ids', count=count)
+    forwarded = _new_forward(node, waiter, msg, leader.incarnation, now)
+    return _send_forward(forwarded, leader.conn)
+
+
+def submit_to(node, waiter, leader, spec, detach, now):
+    """Submit a job under a new id of the leader."""
+    msg = _forward(
+        'submit',
+        customer=spec.customer,
+        body=jobs.spec_to_json(spec),
+        detach=detach,
+    )
+    forwarded = _new_forward(node, waiter, msg, leader.incarnation, now)
+    return _send_forward(forwarded, leader.conn)
+
+
 def pass_on_submit(node, waiter, parts, job_id, spec, detach, hops, now):
     """Pass a submission on to the entry that owns its id."""
-    msg = messages.Forward(
-        query=0,
-        action='submit',
+    msg = _forward(
+        'submit',
         job_id=job_id,
         customer=spec.customer,
         body=jobs.spec_to_json(spec),
-        wait_ms=0,
         hops=hops + 1,
         detach=detach,
     )
@@ -109,15 +140,12 @@
 
 def pass_on(node, waiter, parts, action, job_id, customer, wait_s, hops, now):
     """Pass a request other than a submission on to the owner."""
-    msg = messages.Forward(
-        query=0,
-        action=action,
+    msg = _forward(
+        action,
         job_id=job_id,
         customer=customer,
-        body=b'',
         wait_ms=int(wait_s * 1000),
         hops=hops + 1,
-        detach=False,
     )
     return _pass_on(node, waiter, parts, msg, now)
 
@@ -172,9 +200,30 @@
     if forwarded is None or forwarded.conn is not None:
         return []
     del node.forwards[query]
+    if not forwarded.msg.job_id:
+        return _leader_lost(node, forwarded)
     return _to_recoverer(node, forwarded.waiter, forwarded.msg, now)
 
 
+def _leader_lost(node, forwarded):
+    """Answer a request that was sent to a leader that is gone.
+
+    The leader may have given the job an id that nobody here knows.
+    """
+    _outcomes.forget_waiter(node, forwarded.waiter)
+    may_have_run = forwarded.msg.action == 'submit'
+    answer = kernel.Refused(
+        '',
+        'owner-lost',
+        kernel.Verdict.MAY_HAVE_RUN
+        if may_have_run
+        else kernel.Verdict.NOT_RUN,
+        'the entry that took the request is gone',
+        OWNER_WAIT_S,
+    )
+    return [_outcomes.reply(forwarded.waiter, answer)]
+
+
 def _to_recoverer(node, waiter, msg, now):
     """Let one agreed entry recover the job, so that answers agree."""
     names = {peer.name: peer for peer in node.peers.values()}
--- a/azurepier/entry/_state.py
+++ b/azurepier/entry/_state.py
@@ -125,6 +125,7 @@
     last_heard: float
     members_version: int = 0
     config_version: int = 0
+    eligible: bool = False
     acked: list = attrs.field(factory=list)
 
 
@@ -187,6 +188,7 @@
     waiting_tasks: int = 0
     urgent_use: dict = attrs.field(factory=dict)
     next_query: int = 1
+    leads: bool = False
     dirty: bool = False
     draining: bool = False
     stopped: bool = False
--- a/azurepier/entry/tests/test_faults.py
+++ b/azurepier/entry/tests/test_faults.py
@@ -62,17 +62,21 @@
 
 
 class TestImpossibleJob:
-    def _fleet(self):
+    def _fleet(self, settled=False):
+        """Return a fleet whose entry 1 has just started."""
         fleet = testing.make_fleet(entries=1, speeds=())
+        fleet.driver.kill(fleet.entries[0])
+        fleet.add_entry('new')
+        fleet.configure(testing.configuration())
         fleet.add_endpoint('only', kinds=('sleep',), largest_size=10)
+        _run(fleet, 10.0 if settled else 1.0)
         return fleet
 
     def test_is_refused_at_once(self):
         # Guards against a job that waits for its deadline in vain.
-        fleet = self._fleet()
-        _run(fleet, 10.0)
-        req = fleet.submit(0, testing.spec([50], kind='paint'))
-        answer = fleet.answer(0, req)
+        fleet = self._fleet(settled=True)
+        req = fleet.submit(1, testing.spec([50], kind='paint'))
+        answer = fleet.answer(1, req)
         assert answer.type == 'impossible'
         assert answer.verdict is Verdict.NOT_RUN
 
@@ -80,8 +84,6 @@
         # Guards against refusing work because the endpoints are not known
         # yet.
         fleet = self._fleet()
-        fleet.add_entry('new')
-        _run(fleet, 1.0)
         req = fleet.submit(1, testing.spec([50], kind='paint'))
         assert fleet.answer(1, req) is None
         fleet.add_endpoint('painter', kinds=('paint',))
@@ -91,8 +93,6 @@
     def test_waiting_job_is_refused_once_the_fleet_is_known(self):
         # Guards against keeping what was queued during the start.
         fleet = self._fleet()
-        fleet.add_entry('new')
-        _run(fleet, 1.0)
         req = fleet.submit(1, testing.spec([50], kind='paint'))
         assert fleet.answer(1, req) is None
         _run(fleet, _callers.SETTLE_S)
@@ -170,7 +170,7 @@
         refused = fleet.submit(0, testing.spec([50]))
         answer = fleet.answer(0, refused)
         assert answer.verdict is Verdict.NOT_RUN
-        assert answer.location == 'http://entry-1'
+        assert answer.location == f'http://{fleet.entries[1].name}'
         assert not fleet.entries[0].stopped
         _run(fleet, 10.0)
         testing.check_job(fleet, spec, fleet.answer(0, req))
@@ -266,5 +266,6 @@
         _run(fleet, 1.0)
         for index in (0, 1):
             req = fleet.submit(index, testing.spec([50]))
+            _run(fleet, 0.1)
             answer = fleet.answer(index, req)
             assert answer.type == 'unknown-customer'
--- a/azurepier/entry/tests/test_invariants.py
+++ b/azurepier/entry/tests/test_invariants.py
@@ -251,7 +251,7 @@
         req = fleet.submit(0, spec)
         asked_at = fleet.driver.now
         fleet.driver.run_until(asked_at + 3.0)
-        at, answer = fleet.driver.answers[('entry-0', req)]
+        at, answer = fleet.driver.answers[(fleet.entries[0].name, req)]
         assert at - asked_at <= 1.001
         assert answer.verdict is verdict
         testing.check_job(fleet, spec, answer)
--- a/azurepier/jobs/_codec.py
+++ b/azurepier/jobs/_codec.py
@@ -45,6 +45,14 @@
     return kernel.Complete(data['job_id'], outputs)
 
 
+def _ids_to_data(answer):
+    return {'ids': answer.ids, 'expires_in_s': answer.expires_in_s}
+
+
+def _ids_from_data(data):
+    return kernel.Ids(tuple(data['ids']), data['expires_in_s'])
+
+
 def _accepted_to_data(answer):
     return {'job_id': answer.job_id, 'state': answer.state}
 
@@ -66,6 +74,7 @@
 
 
 _CODECS = {
+    'ids': (kernel.Ids, _ids_to_data, _ids_from_data),
     'complete': (kernel.Complete, _complete_to_data, _complete_from_data),
     'accepted': (
         kernel.Accepted,
--- a/azurepier/placement/_policies.py
+++ b/azurepier/placement/_policies.py
@@ -27,17 +27,12 @@
     ----------
     work_s : float
         Expected work in seconds at speed 1.
-    held : int
-        Tasks that were held before this one in the same pass.
-    turnover : callable
-        `turnover(speed)` returns, for the busy endpoints faster than
-        `speed`, how many of their slots become free per second and their
-        mean speed.
+    plan : Plan
+        When busy slots are expected to become free.
     """
 
     work_s: float
-    held: int
-    turnover: object
+    plan: object
 
 
 @registry.register('placement', 'expected_completion')
@@ -52,15 +47,14 @@
                 break
             if view.credit_share > best.credit_share:
                 best = view
-        rate, speed = need.turnover(best.speed * EQUAL_SPEED)
-        if rate <= 0:
+        run_s = need.work_s / best.speed
+        end_s, other = need.plan.earliest(
+            need.work_s, best.speed * EQUAL_SPEED
+        )
+        if end_s * HOLD_MARGIN >= run_s:
             return best
-        wait_s = (need.held + 1) / rate
-        if wait_s + need.work_s / speed < need.work_s / (
-            best.speed * HOLD_MARGIN
-        ):
-            return HOLD
-        return best
+        need.plan.reserve(other, need.work_s)
+        return HOLD
 
     return choose
 
--- a/azurepier/queueing/__init__.py
+++ b/azurepier/queueing/__init__.py
@@ -8,7 +8,6 @@
 from azurepier.queueing import _fair
 from azurepier.queueing import _fifo
 from azurepier.queueing._tasks import fill
-from azurepier.queueing._tasks import next_task
 from azurepier.queueing._tasks import pop_task
 from azurepier.queueing._tasks import return_task
 
@@ -19,7 +18,6 @@
     'Waiting',
     'admission',
     'fill',
-    'next_task',
     'pop_task',
     'return_task',
 ]
--- a/azurepier/queueing/_fair.py
+++ b/azurepier/queueing/_fair.py
@@ -1,4 +1,11 @@
-"""Weighted fair queueing between customers, small jobs first within one."""
+"""Weighted fair queueing between customers, small jobs first.
+
+Each customer's first job has a score: the job's place by size and age plus
+what the customer was served since the queue was last empty, relative to its
+weight. The lowest score goes first. While customers are served alike, small
+jobs go first whoever owns them; a customer that was served more than the
+others falls back.
+"""
 
 import heapq
 
@@ -8,17 +15,17 @@
 from azurepier.kernel import registry
 from azurepier.queueing import _discipline
 
-# A job's place among its customer's is its arrival plus this many times its
-# expected work: small jobs pass large ones, but not for ever.
+# A job's place is its arrival plus this many times its expected work: small
+# jobs pass large ones, but not for ever.
 AGEING = 2.0
 # Jobs of a customer that are tried before its turn passes on.
 BLOCKED_JOBS_MAX = 4
 
 
-@attrs.define
+@attrs.define(eq=False)
 class _Customer:
     name: str
-    served: float = 0.0  # virtual time
+    served: float = 0.0  # work per weight since the queue was empty
     jobs: object = attrs.field(
         factory=lambda: sortedcontainers.SortedKeyList(
             key=lambda waiting: waiting.key
@@ -26,63 +33,81 @@
     )
     work_s: float = 0.0
     weight: float = 1.0
-    entered: bool = False  # has a place in the heap of its class
+    version: int = 0  # of its current entry in the heap
 
 
-@attrs.define
+@attrs.define(eq=False)
 class _Class:
-    """Customers of one class in the order of their virtual time."""
+    """Customers of one class in the order of their scores."""
 
     customers: dict = attrs.field(factory=dict)
     heap: list = attrs.field(factory=list)
-    virtual: float = 0.0
     counter: int = 0
+    jobs: int = 0
+    floor: float = 0.0  # what a customer that comes back counts as served
 
 
 def _enter(cls, customer):
-    if customer.entered or not customer.jobs:
+    """Give a customer its place by its present score."""
+    if not customer.jobs:
         return
-    customer.entered = True
     cls.counter += 1
-    heapq.heappush(cls.heap, (customer.served, cls.counter, customer))
+    customer.version = cls.counter
+    score = customer.jobs[0].key + customer.served
+    heapq.heappush(cls.heap, (score, cls.counter, customer))
 
 
-def _push(classes, waiting, now):
+def _push(cls, waiting):
     if waiting.queued or not waiting.tasks:
         return
-    cls = classes[waiting.urgent]
     customer = cls.customers.get(waiting.customer)
     if customer is None:
         customer = cls.customers[waiting.customer] = _Customer(
             waiting.customer
         )
     if not customer.jobs:
-        # An idle customer starts level with the others; it neither saves up
-        # a claim nor pays for service that nobody else wanted.
-        customer.served = max(customer.served, cls.virtual)
+        # An idle customer doesn't save up a claim.
+        customer.served = max(customer.served, cls.floor)
+    customer.weight = waiting.weight
     waiting.key = waiting.queued_at + AGEING * waiting.work_s
     waiting.queued = True
-    customer.weight = waiting.weight
     customer.jobs.add(waiting)
     customer.work_s += waiting.work_s
+    cls.jobs += 1
     _enter(cls, customer)
 
 
-def _remove(classes, waiting):
+def _remove(cls, waiting):
     if not waiting.queued:
         return
-    customer = classes[waiting.urgent].customers[waiting.customer]
-    customer.jobs.remove(waiting)
+    customer = cls.customers[waiting.customer]
     customer.work_s -= waiting.work_s
+    _take_out(cls, customer, waiting)
+    _enter(cls, customer)
+
+
+def _take_out(cls, customer, waiting):
+    customer.jobs.remove(waiting)
     waiting.queued = False
+    cls.jobs -= 1
+    if not cls.jobs:
+        _forget_service(cls)
+
+
+def _forget_service(cls):
+    """Start anew: nobody waits, so nobody was served at others' cost."""
+    cls.floor = 0.0
+    cls.heap.clear()
+    for customer in cls.customers.values():
+        customer.served = 0.0
+        customer.work_s = 0.0
+        customer.version = 0
 
 
 def _next_customer(cls):
     while cls.heap:
-        _, _, customer = heapq.heappop(cls.heap)
-        customer.entered = False
-        if customer.jobs:
-            cls.virtual = max(cls.virtual, customer.served)
+        _, version, customer = heapq.heappop(cls.heap)
+        if customer.version == version and customer.jobs:
             return customer
     return None
 
@@ -95,7 +120,7 @@
             if customer is None:
                 return
             blocked.append(customer)
-            started = yield from _customer_candidates(customer)
+            started = yield from _customer_candidates(cls, customer)
             if started:
                 blocked.pop()
                 _enter(cls, customer)
@@ -104,7 +129,7 @@
             _enter(cls, customer)
 
 
-def _customer_candidates(customer):
+def _customer_candidates(cls, customer):
     """Offer jobs until one starts a task; tell whether one did."""
     tried = 0
     while tried < min(len(customer.jobs), BLOCKED_JOBS_MAX):
@@ -112,12 +137,7 @@
         before = waiting.work_s
         placed = yield waiting
         if placed is _discipline.Placed.STARTED:
-            used = before - waiting.work_s
-            customer.served += used / waiting.weight
-            customer.work_s -= used
-            if not waiting.tasks and waiting.queued:
-                customer.jobs.remove(waiting)
-                waiting.queued = False
+            _charge(cls, customer, waiting, before - waiting.work_s)
             return True
         if placed is _discipline.Placed.CUSTOMER_BLOCKED:
             return False
@@ -125,16 +145,30 @@
     return False
 
 
+def _charge(cls, customer, waiting, used_s):
+    cls.floor = max(cls.floor, _least_served(cls))
+    customer.served += used_s / waiting.weight
+    customer.work_s -= used_s
+    if not waiting.tasks and waiting.queued:
+        _take_out(cls, customer, waiting)
+
+
+def _least_served(cls):
+    return min(
+        (c.served for c in cls.customers.values() if c.jobs), default=0.0
+    )
+
+
 @registry.register('queueing', 'fair')
 def fair():
     """Return a new queue: urgent first, then weighted fair queueing."""
     classes = {True: _Class(), False: _Class()}
 
     def push(waiting, now):
-        _push(classes, waiting, now)
+        _push(classes[waiting.urgent], waiting)
 
     def remove(waiting):
-        _remove(classes, waiting)
+        _remove(classes[waiting.urgent], waiting)
 
     def candidates():
         for urgent in (True, False):
--- a/azurepier/queueing/_tasks.py
+++ b/azurepier/queueing/_tasks.py
@@ -13,14 +13,9 @@
     waiting.work_s = sum(works)
 
 
-def next_task(waiting):
-    """Return the number of the task that starts next."""
-    return waiting.tasks[-1]
-
-
-def pop_task(waiting):
-    """Take out the next task and return its number."""
-    task = waiting.tasks.pop()
+def pop_task(waiting, index=-1):
+    """Take out the task at `index` and return its number."""
+    task = waiting.tasks.pop(index)
     waiting.work_s -= waiting.work[task]
     return task
 
--- a/azurepier/testing/_fleet.py
+++ b/azurepier/testing/_fleet.py
@@ -15,7 +15,7 @@
 
 # A new entry starts nothing while shares of its limits may be in use by
 # others, see `azurepier.limits`.
-SETTLE_S = 7.0
+SETTLE_S = 8.0
 Status = kernel.Status
 
 
@@ -152,6 +152,8 @@
 def make_fleet(entries=2, speeds=(1.0, 2.0, 4.0), seed=1, **options):
     """Return a connected fleet with a configuration in force.
 
+    The entry that leads, and so owns new jobs, comes first.
+
     Parameters
     ----------
     entries : int
@@ -175,4 +177,5 @@
         fleet.add_endpoint(f'endpoint-{number}', speed, slots)
     fleet.configure(cfg)
     driver.run_until(SETTLE_S)
+    fleet.entries.sort(key=lambda process: not process.node.leads)
     return fleet
--- a/azurepier/wire/gen/messages/ttypes.py
+++ b/azurepier/wire/gen/messages/ttypes.py
@@ -343,6 +343,7 @@
      - long_free
      - seen
      - acked
+     - active
 
     """
 
@@ -355,10 +356,11 @@
         'long_free',
         'seen',
         'acked',
+        'active',
     )
 
 
-    def __init__(self, config_version=None, members_version=None, queued=None, granted=None, free=None, long_free=None, seen=None, acked=None,):
+    def __init__(self, config_version=None, members_version=None, queued=None, granted=None, free=None, long_free=None, seen=None, acked=None, active=None,):
         self.config_version = config_version
         self.members_version = members_version
         self.queued = queued
@@ -367,6 +369,7 @@
         self.long_free = long_free
         self.seen = seen
         self.acked = acked
+        self.active = active
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -422,6 +425,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.active = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -467,6 +475,10 @@
                 oprot.writeI64(iter13)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.active is not None:
+            oprot.writeFieldBegin('active', TType.BOOL, 9)
+            oprot.writeBool(self.active)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2170,6 +2182,7 @@
      - wait_ms
      - hops
      - detach
+     - count
 
     """
 
@@ -2182,10 +2195,11 @@
         'wait_ms',
         'hops',
         'detach',
+        'count',
     )
 
 
-    def __init__(self, query=None, action=None, job_id=None, customer=None, body=None, wait_ms=None, hops=None, detach=None,):
+    def __init__(self, query=None, action=None, job_id=None, customer=None, body=None, wait_ms=None, hops=None, detach=None, count=None,):
         self.query = query
         self.action = action
         self.job_id = job_id
@@ -2194,6 +2208,7 @@
         self.wait_ms = wait_ms
         self.hops = hops
         self.detach = detach
+        self.count = count
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2244,6 +2259,11 @@
                     self.detach = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2286,6 +2306,10 @@
             oprot.writeFieldBegin('detach', TType.BOOL, 8)
             oprot.writeBool(self.detach)
             oprot.writeFieldEnd()
+        if self.count is not None:
+            oprot.writeFieldBegin('count', TType.I32, 9)
+            oprot.writeI32(self.count)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2780,6 +2804,7 @@
     (6, TType.I32, 'long_free', None, None, ),  # 6
     (7, TType.I64, 'seen', None, None, ),  # 7
     (8, TType.LIST, 'acked', (TType.I64, None, False), None, ),  # 8
+    (9, TType.BOOL, 'active', None, None, ),  # 9
 )
 all_structs.append(EntryInfo)
 EntryInfo.thrift_spec = (
@@ -2914,6 +2939,7 @@
     (6, TType.I32, 'wait_ms', None, None, ),  # 6
     (7, TType.I32, 'hops', None, None, ),  # 7
     (8, TType.BOOL, 'detach', None, None, ),  # 8
+    (9, TType.I32, 'count', None, None, ),  # 9
 )
 all_structs.append(ForwardAnswer)
 ForwardAnswer.thrift_spec = (
--- a/thrift/azurepier.thrift
+++ b/thrift/azurepier.thrift
@@ -37,6 +37,8 @@
   6: i32 long_free
   7: i64 seen
   8: list<i64> acked        // outcomes received (entries)
+  9: bool active            // to endpoints: this entry dispatches new jobs;
+                            // to entries: this entry could do so
 }
 
 struct EntryInfo {
@@ -150,13 +152,14 @@
 /** A caller's request passed on to the entry that owns the job. */
 struct Forward {
   1: i64 query
-  2: string action          // "submit", "fetch" or "cancel"
+  2: string action          // "submit", "fetch", "cancel" or "ids"
   3: string job_id
   4: string customer
   5: binary body            // JSON of the job, for "submit"
   6: i32 wait_ms
   7: i32 hops               // entries that passed the request on
   8: bool detach
+  9: i32 count              // job ids wanted, for "ids"
 }
 
 struct ForwardAnswer {
