Add the stand-ins for a worker and the platform

Tests and the demo need a worker and a platform that fail on request: a platform that is down, silent, slow or loses answers to writes that took effect, and a worker that counts each start.

--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for a worker and the platform, and the demo."""
