Add the client for the platform and the application of the lists

The client speaks etcd v3's JSON gateway over the connections of the HTTP library. The library's session was ruled out: it repeats a request when a connection closes, which hides whether the first write took effect, and a read of a truncated body raises nothing.

A write whose answer was lost is settled by reading back and comparing the edit id, also when another edit was built on it; it is sent again only if the reading proves that it did not take effect.

--- /dev/null
+++ b/azurepier/platform/_records.py
@@ -0,0 +1,92 @@
+"""Values that the client reads from the platform."""
+
+import json
+
+import attrs
+
+from azurepier import kernel
+
+_ENTRY_FIELDS = {
+    'name': str,
+    'incarnation': str,
+    'address': str,
+    'web_address': str,
+    'domain': str,
+    'draining': bool,
+}
+# The history is for people; a first version with 780 customers has about as
+# many lines, and a record must stay far below the limit of a value.
+_MAX_LINES = 1000
+_MAX_LINE_CHARS = 300
+
+
+@attrs.frozen
+class Change:
+    """A change below the watched prefix.
+
+    `value` is None if the key was deleted or its lease expired. The first
+    change of a watch has an empty key: the watch is in force.
+    """
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+@attrs.frozen
+class HistoryEntry:
+    """One version of the configuration; `written_at` is in s since 1970."""
+
+    version: int
+    edit_id: str
+    author: str
+    written_at: float
+    changes: tuple
+
+
+def info_to_json(info):
+    """Return an `EntryInfo` as JSON bytes."""
+    value = {
+        name: cls(getattr(info, name) or cls())
+        for name, cls in _ENTRY_FIELDS.items()
+    }
+    return json.dumps(value, sort_keys=True).encode()
+
+
+def info_from_json(body):
+    """Return the `EntryInfo` in `body`, or None if it is malformed."""
+    try:
+        value = json.loads(body)
+    except (ValueError, RecursionError):
+        return None
+    if not isinstance(value, dict) or not all(
+        isinstance(value.get(name), cls) for name, cls in _ENTRY_FIELDS.items()
+    ):
+        return None
+    return kernel.messages.EntryInfo(
+        **{name: value[name] for name in _ENTRY_FIELDS}
+    )
+
+
+def history_to_json(entry):
+    """Return a `HistoryEntry` as JSON bytes."""
+    lines = [line[:_MAX_LINE_CHARS] for line in entry.changes]
+    if len(lines) > _MAX_LINES:
+        more = len(lines) - _MAX_LINES
+        lines = [*lines[:_MAX_LINES], f'{more} more changes']
+    return json.dumps(attrs.asdict(entry) | {'changes': lines}).encode()
+
+
+def history_from_json(body):
+    """Return the `HistoryEntry` in `body`, or None if it is malformed."""
+    try:
+        value = json.loads(body)
+        return HistoryEntry(
+            version=int(value['version']),
+            edit_id=str(value['edit_id']),
+            author=str(value['author']),
+            written_at=float(value['written_at']),
+            changes=tuple(str(line) for line in value['changes']),
+        )
+    except (ValueError, KeyError, TypeError, RecursionError):
+        return None
--- /dev/null
+++ b/azurepier/platform/tests/test_platform.py
@@ -0,0 +1,322 @@
+"""Tests of the client against the stand-in for the platform."""
+
+import asyncio
+import contextlib
+import copy
+import random
+
+import attrs
+import pytest
+
+from azurepier import config
+from azurepier import kernel
+from azurepier import platform
+from standins import platform as standin
+
+INFO = kernel.messages.EntryInfo(
+    name='e1',
+    incarnation='i1',
+    address='127.0.0.1:1',
+    web_address='http://127.0.0.1:2',
+    domain='d',
+    draining=False,
+)
+
+
+def lists(**changes):
+    plan = attrs.evolve(config.Plan('p', 1.0, 1, 1), **changes)
+    return {'acme': config.Customer('acme', 'p')}, {'p': plan}
+
+
+def run(scenario):
+    """Run ``scenario(server, client)`` with a platform of its own."""
+
+    async def main():
+        server = standin.Platform()
+        running = await standin.start(server)
+        url = f'http://127.0.0.1:{running.port}'
+        budget = platform.Budget(calls_per_s=1e6, burst=1e6)
+        client = platform.Client(url, random.Random(1), 5.0, budget)
+        try:
+            return await scenario(server, client)
+        finally:
+            await client.close()
+            await running.close()
+
+    return asyncio.run(main())
+
+
+async def expire(server):
+    """Let every lease end without waiting for it."""
+    for lease in server.store.leases.values():
+        lease.expires_at = 0.0
+
+
+class TestApply:
+    def test_versions_follow_each_other(self):
+        # Guards against a no-op that makes a version, and a lost history.
+        async def scenario(server, client):
+            assert await client.read_config() == (None, 0)
+            first = await platform.apply(client, lists(), 'ann')
+            again = await platform.apply(client, lists(), 'bob')
+            second = await platform.apply(client, lists(queue=7), 'bob')
+            assert [first.version, second.version] == [1, 2]
+            assert (again.changed, again.version) == (False, 1)
+            assert second.lines == ('plan p: queue 1 -> 7',)
+            cfg, _ = await platform.read_current(client)
+            assert cfg.plans['p'].queue == 7
+            newest, oldest = await client.history()
+            assert (newest.author, newest.changes) == ('bob', second.lines)
+            assert oldest.version == 1
+
+        run(scenario)
+
+    def test_disapproved_change_is_not_written(self):
+        # Guards against a confirmation that comes too late.
+        async def scenario(server, client):
+            seen = []
+            applied = await platform.apply(
+                client, lists(), 'ann', approve=seen.append
+            )
+            assert not applied.changed
+            assert len(seen[0]) == 2
+            assert await client.read_config() == (None, 0)
+
+        run(scenario)
+
+    def test_conflicting_edit_is_refused_with_its_changes(self):
+        # Guards against an edit that silently undoes another operator's.
+        async def scenario(server, client):
+            await platform.apply(client, lists(), 'ann')
+            original = client.read_config
+
+            async def read_before_another_edit():
+                found = await original()
+                client.read_config = original
+                await platform.apply(client, lists(queue=9), 'bob')
+                return found
+
+            client.read_config = read_before_another_edit
+            with pytest.raises(kernel.ConflictError, match='queue 1 -> 9'):
+                await platform.apply(client, lists(queue=5), 'ann')
+            with pytest.raises(kernel.ConflictError, match='by bob: plan p'):
+                await platform.apply(client, lists(queue=5), 'ann', 1)
+
+        run(scenario)
+
+    def test_history_keeps_the_latest_50(self):
+        # Guards against a platform that fills up.
+        async def scenario(server, client):
+            for n in range(60):
+                await platform.apply(client, lists(queue=n), 'ann')
+            versions = [entry.version for entry in await client.history()]
+            assert versions == list(range(60, 10, -1))
+            prefix = platform.HISTORY_PREFIX.encode()
+            kept = [k for k in server.store.items if k.startswith(prefix)]
+            assert len(kept) == 50
+
+        run(scenario)
+
+    def test_version_above_the_one_in_force(self):
+        # Guards against versions that nobody adopts after a loss of data.
+        async def scenario(server, client):
+            applied = await platform.apply(client, lists(), 'a', above=41)
+            assert applied.version == 42
+
+        run(scenario)
+
+    def test_invalid_value_in_the_platform(self):
+        # Guards against a traceback, and against overwriting evidence.
+        async def scenario(server, client):
+            await platform.apply(client, lists(), 'ann')
+            server.store.items[platform.CONFIG_KEY.encode()].value = b'{'
+            with pytest.raises(kernel.PlatformError, match='invalid'):
+                await platform.apply(client, lists(queue=2), 'ann')
+
+        run(scenario)
+
+
+class TestLostAnswers:
+    @pytest.mark.parametrize('lost', [1, 2])
+    def test_write_that_took_effect_is_recognised(self, lost):
+        # Guards against a second version, or a conflict with oneself.
+        async def scenario(server, client):
+            server.lose_answers = lost
+            applied = await platform.apply(client, lists(), 'ann')
+            assert (applied.changed, applied.version) == (True, 1)
+            assert len(await client.history()) == 1
+            assert server.calls['/v3/kv/txn'] == 1
+            assert client.budget.failures['txn'] == 1
+
+        run(scenario)
+
+    def test_write_that_did_not_take_effect_is_repeated(self):
+        # Guards against an edit that is reported but missing.
+        async def scenario(server, client):
+            original = standin._CALLS['/v3/kv/txn']
+            pending = [True]
+
+            async def lose_request(platform_, value):
+                if pending:
+                    pending.clear()
+                    raise standin._Break
+                return await original(platform_, value)
+
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setitem(standin._CALLS, '/v3/kv/txn', lose_request)
+                applied = await platform.apply(client, lists(), 'ann')
+            assert applied.version == 1
+            assert server.calls['/v3/kv/txn'] == 2
+
+        run(scenario)
+
+    def test_own_edit_that_was_replaced_meanwhile(self):
+        # Guards against a conflict with an edit that built on one's own.
+        async def scenario(server, client):
+            original = client.read_config
+
+            async def read_after_another_edit():
+                client.read_config = original
+                await platform.apply(client, lists(queue=9), 'bob')
+                return await original()
+
+            cfg = config.Configuration(1, 'mine', 'ann', *lists())
+            server.lose_answers = 1
+            client.read_config = read_after_another_edit
+            await client.replace_config(config.to_json(cfg), 0)
+            assert [e.author for e in await client.history()] == ['bob', 'ann']
+
+        run(scenario)
+
+
+class TestEntries:
+    def test_record_lives_as_long_as_its_lease(self):
+        # Guards against entries that stay listed after their death.
+        async def scenario(server, client):
+            await client.register(INFO, 5)
+            assert await client.list_entries() == [INFO]
+            assert await client.keep_alive()
+            await expire(server)
+            assert await client.list_entries() == []
+            # The holder was paused; it has to notice and register again.
+            assert not await client.keep_alive()
+            assert await client.list_entries() == [INFO]
+            await expire(server)
+            await client.register(INFO, 5)
+            assert await client.list_entries() == [INFO]
+
+        run(scenario)
+
+    def test_successor_of_the_same_name_stays(self):
+        # Guards against a drained process that removes its successor.
+        async def scenario(server, client):
+            await client.register(INFO, 5)
+            successor = copy.copy(INFO)
+            successor.incarnation = 'i2'
+            await client.register(successor, 5)
+            client._info = INFO
+            await client.unregister()
+            assert await client.list_entries() == [successor]
+            client._info = successor
+            await client.unregister()
+            assert await client.list_entries() == []
+
+        run(scenario)
+
+
+class TestWatch:
+    def test_changes_arrive_in_order(self):
+        # Guards against missed versions and expired entries.
+        async def scenario(server, client):
+            async with contextlib.aclosing(client.watch()) as changes:
+                assert (await anext(changes)).key == ''
+                await client.register(INFO, 5)
+                change = await anext(changes)
+                assert change.key == '/azurepier/entries/e1'
+                await platform.apply(client, lists(), 'ann')
+                change = await anext(changes)
+                assert change.key == platform.CONFIG_KEY
+                assert config.from_json(change.value).author == 'ann'
+                assert 'config-history' in (await anext(changes)).key
+                await expire(server)
+                await client.list_entries()
+                change = await anext(changes)
+                assert change.value is None
+            while server.store.watches:
+                await asyncio.sleep(0.01)
+
+        run(scenario)
+
+    def test_watch_ends_with_an_error_when_the_platform_goes_down(self):
+        # Guards against an entry that waits for ever on a broken watch.
+        async def scenario(server, client):
+            changes = client.watch()
+            await anext(changes)
+            server.running.break_connections()
+            with pytest.raises(kernel.PlatformError):
+                await anext(changes)
+
+        run(scenario)
+
+
+class TestFaults:
+    @pytest.mark.parametrize('fault', ['down', 'silent', 'delay_ms'])
+    def test_each_call_ends_in_time_with_one_error_class(self, fault):
+        # Guards against an entry that hangs or dies with the platform.
+        async def scenario(server, client):
+            await client.register(INFO, 5)
+            setattr(server, fault, 60_000)
+            client.limit_s = 0.3
+            calls = [
+                client.read_config(),
+                client.history(),
+                client.list_entries(),
+                client.register(INFO, 5),
+                client.keep_alive(),
+                platform.apply(client, lists(), 'ann'),
+                anext(client.watch()),
+            ]
+            found = await asyncio.gather(*calls, return_exceptions=True)
+            assert {type(item) for item in found} == {kernel.PlatformError}
+            setattr(server, fault, 0)
+            client.limit_s = 5.0
+            assert await client.list_entries() == [INFO]
+
+        run(scenario)
+
+    def test_malformed_answers(self):
+        # Guards against exceptions of the parser that reach the caller.
+        answers = [[], {'kvs': [{}]}, {'kvs': 3}, {'kvs': [{'key': '!'}]}]
+
+        async def scenario(server, client):
+            for answer in answers:
+
+                async def reply(platform_, value, answer=answer):
+                    return standin._server.Reply(answer)
+
+                with pytest.MonkeyPatch.context() as patch:
+                    patch.setitem(standin._CALLS, '/v3/kv/range', reply)
+                    with pytest.raises(kernel.PlatformError):
+                        await client.list_entries()
+
+        run(scenario)
+
+    @pytest.mark.parametrize('url', ['', 'x', 'ftp://h', 'http://h:x'])
+    def test_bad_url(self, url):
+        # Guards against a setting that fails only at the first call.
+        with pytest.raises(kernel.InvalidInputError):
+            platform.Client(url, random.Random(1))
+
+
+class TestBudget:
+    def test_calls_beyond_the_burst_are_spaced(self):
+        # Guards against a process that uses up the platform's limits.
+        now = [0.0]
+        budget = platform.Budget(clock=lambda: now[0])
+        waits = [budget.reserve(2.0) for _ in range(40)]
+        assert waits[:20] == [0.0] * 20
+        assert waits[20:30] == pytest.approx([n / 5 for n in range(1, 11)])
+        assert waits[30:] == [None] * 10
+        assert budget.refused == 10
+        now[0] = 60.0
+        assert [budget.reserve(0.0) for _ in range(21)].count(0.0) == 20
