Serve the operators' paths without the callers' ones

The endpoint process takes no jobs but shows its health, metrics and events at the same paths as an entry. A second application with copied handlers was ruled out; the routes are split and the application is built from either.

--- a/azurepier/web/__init__.py
+++ b/azurepier/web/__init__.py
@@ -1,6 +1,7 @@
 """HTTP interface for callers."""
 
 from azurepier.web._app import create_app
+from azurepier.web._app import create_operators_app
 from azurepier.web._parse import parse_ids_request
 from azurepier.web._parse import parse_job
 from azurepier.web._requests import MAX_BODY_BYTES
@@ -8,6 +9,7 @@
 __all__ = [
     'MAX_BODY_BYTES',
     'create_app',
+    'create_operators_app',
     'parse_ids_request',
     'parse_job',
 ]
--- a/azurepier/web/_app.py
+++ b/azurepier/web/_app.py
@@ -54,6 +54,26 @@
     return _answers.no_such_path(request.method, path)
 
 
+def _operator_routes(shell, metrics):
+    return {
+        ('GET', '/healthz'): _operators.make_healthz(),
+        ('GET', '/readyz'): _operators.make_readyz(shell),
+        ('GET', '/metrics'): _operators.make_metrics(metrics),
+        ('GET', '/v1/events'): _operators.make_events(shell),
+        ('GET', '/v1/status'): _operators.make_status(shell),
+        ('GET', '/v1/config'): _operators.make_config(shell),
+    }
+
+
+def _application(routes):
+    # An own router: the library's default one is shared by all applications.
+    app = Application(router=Router(), show_error_details=False)
+    for (method, path), handler in routes.items():
+        app.router.add(method, path, _guard(handler))
+    app.router.fallback = _not_served
+    return app
+
+
 def create_app(shell, registry=None):
     """Return the application that serves callers and operators.
 
@@ -79,16 +99,14 @@
         ('GET', '/v1/jobs/:id'): _jobs.make_fetch(shell),
         ('DELETE', '/v1/jobs/:id'): _jobs.make_cancel(shell),
         ('POST', '/v1/job-ids'): _jobs.make_new_ids(shell),
-        ('GET', '/healthz'): _operators.make_healthz(),
-        ('GET', '/readyz'): _operators.make_readyz(shell),
-        ('GET', '/metrics'): _operators.make_metrics(metrics),
-        ('GET', '/v1/events'): _operators.make_events(shell),
-        ('GET', '/v1/status'): _operators.make_status(shell),
-        ('GET', '/v1/config'): _operators.make_config(shell),
     }
-    # An own router: the library's default one is shared by all applications.
-    app = Application(router=Router(), show_error_details=False)
-    for (method, path), handler in routes.items():
-        app.router.add(method, path, _guard(handler))
-    app.router.fallback = _not_served
-    return app
+    return _application(routes | _operator_routes(shell, metrics))
+
+
+def create_operators_app(shell, registry):
+    """Return the application of a process that takes no jobs.
+
+    The parameters are those of `create_app`.
+    """
+    metrics = _metrics.Metrics(registry)
+    return _application(_operator_routes(shell, metrics))
