Add the command for operators and callers

The command checks, compares and applies the lists, shows all processes and their events, drains one of them, and submits, shows and cancels jobs. Exit codes tell invalid input, a conflict, an unreachable platform or entry and a job that did or may have run apart, because scripts depend on them.

Processes are found by following the web addresses in the statuses, so one entry is enough. A process that doesn't answer stays in the list.

--- a/azurepier/cli/__init__.py
+++ b/azurepier/cli/__init__.py
@@ -1,1 +1,7 @@
-"""Placeholder."""
+"""Command for operators and callers."""
+
+from azurepier.cli._main import main
+
+__all__ = [
+    'main',
+]
--- /dev/null
+++ b/azurepier/cli/tests/test_cli.py
@@ -0,0 +1,236 @@
+"""Tests of the command against stand-ins in a thread of their own."""
+
+import asyncio
+import functools
+import json
+import threading
+
+import click.testing
+import pytest
+
+from azurepier import cli
+from standins import _server
+from standins import platform as standin
+
+PLANS = '[p]\nstarts_per_s = 1\nconcurrent = 1\nqueue = 1\n'
+JOB = '1' * 16 + '-ff-1-0123456789'
+
+
+@pytest.fixture
+def serve():
+    """Give a function that serves a handler and returns its base URL."""
+    loop = asyncio.new_event_loop()
+    thread = threading.Thread(target=loop.run_forever)
+    thread.start()
+    servers = []
+
+    def call(coro):
+        return asyncio.run_coroutine_threadsafe(coro, loop).result()
+
+    def serve(handle):
+        servers.append(call(_server.start(handle)))
+        return f'http://127.0.0.1:{servers[-1].port}'
+
+    yield serve
+    for server in servers:
+        call(server.close())
+    loop.call_soon_threadsafe(loop.stop)
+    thread.join()
+    loop.close()
+
+
+@pytest.fixture
+def store(serve):
+    """Give a platform and its URL."""
+    server = standin.Platform()
+    return server, serve(functools.partial(standin.handle, server))
+
+
+@pytest.fixture
+def lists(tmp_path):
+    """Give a directory with valid lists."""
+    (tmp_path / 'plans.toml').write_text(PLANS)
+    (tmp_path / 'customers.toml').write_text('[acme]\nplan = "p"\n')
+    return tmp_path
+
+
+def run(*args, **options):
+    """Run the command; return the exit code, its output and its errors."""
+    runner = click.testing.CliRunner(
+        env={'AZUREPIER_ENTRIES': None, 'AZUREPIER_TOKEN': None}
+    )
+    result = runner.invoke(cli.main, [str(arg) for arg in args], **options)
+    return result.exit_code, result.stdout, result.stderr
+
+
+def answers(routes, seen=None):
+    """Return a handler with an answer by method and path."""
+
+    async def handle(request):
+        if seen is not None:
+            seen.append((request.method, request.path, request.json()))
+        reply = routes[request.method, request.path]
+        return _server.Reply(*reply) if reply else None
+
+    return handle
+
+
+class TestConfig:
+    def test_check_names_file_line_and_field(self, lists):
+        # Guards against lists that are refused without saying where.
+        assert run('config', 'check', lists)[0] == 0
+        (lists / 'customers.toml').write_text('[acme]\nplan = "q"\n')
+        code, _, errors = run('config', 'check', lists)
+        assert code == 3
+        assert 'customers.toml:2: acme.plan: there is no plan' in errors
+
+    def test_apply_and_what_others_then_see(self, lists, store):
+        # Guards against a change without a trace, and unclear exit codes.
+        url = ('--platform', store[1])
+        assert run('config', 'diff', lists, *url, '--exit-code')[0] == 9
+        assert run('config', 'apply', lists, *url, input='n\n')[0] == 1
+        assert run('config', 'show', *url)[1].startswith('no configuration')
+        code, out, _ = run('config', 'apply', lists, *url, input='y\n')
+        assert (code, 'version 1 is written' in out) == (0, True)
+        _, out, _ = run('config', 'apply', lists, *url, '--yes', '--json')
+        applied = {'changed': False, 'version': 1, 'lines': []}
+        assert json.loads(out) == applied
+        assert run('config', 'diff', lists, *url, '--exit-code')[0] == 0
+        _, out, _ = run('config', 'history', *url, '--json')
+        assert [entry['version'] for entry in json.loads(out)] == [1]
+        conflict = run('config', 'apply', lists, *url, '--expect-version', 7)
+        assert conflict[0] == 4
+        assert 'config diff' in conflict[2]
+
+    def test_token_hashes_are_not_shown(self, lists, store):
+        # Guards against hashes in terminals and logs.
+        token = 'a' * 64
+        text = f'[acme]\nplan = "p"\ntoken_sha256 = "{token}"\n'
+        (lists / 'customers.toml').write_text(text)
+        url = ('--platform', store[1])
+        outputs = [run('config', 'apply', lists, *url, '--yes')]
+        outputs += [run('config', 'show', *url, form) for form in ('--json',)]
+        outputs += [
+            run('config', 'history', *url),
+            run('config', 'show', *url),
+        ]
+        assert all(code == 0 for code, _, _ in outputs)
+        assert not any(token in out for _, out, _ in outputs)
+
+    def test_platform_that_is_down(self, lists, store):
+        # Guards against an operator who believes that nothing works.
+        store[0].down = True
+        code, _, errors = run(
+            'config', 'apply', lists, '--platform', store[1], '--json', '--yes'
+        )
+        error = json.loads(errors)
+        assert (code, error['exit_code']) == (5, 5)
+        assert 'AZUREPIER_PLATFORM' in error['advice']
+
+
+class TestJobs:
+    def test_state_of_a_job(self, serve):
+        # Guards against scripts that take a failure for a success.
+        path = ('GET', f'/v1/jobs/{JOB}')
+        results = [{'task': 0, 'output': [1]}]
+        complete = {'id': JOB, 'state': 'complete', 'results': results}
+        failed = {'title': 'A task failed', 'verdict': 'ran', 'type': 'x'}
+        for reply, code in (
+            ((complete,), 0),
+            (({'id': JOB, 'state': 'running'}, 202), 0),
+            ((failed, 502), 8),
+            ((failed | {'verdict': 'not_run'}, 503), 7),
+            (({'title': 'no such path'}, 404), 6),
+            (([],), 6),
+            (None, 6),
+        ):
+            url = serve(answers({path: reply}))
+            args = ('jobs', 'show', JOB, '--customer', 'a', '--json')
+            found, out, errors = run(*args, '--entry', url)
+            assert found == code
+            assert json.loads(out or errors)
+
+    def test_cancelled_job(self, serve):
+        # Guards against a cancellation that is reported as an error.
+        problem = {'type': 'urn:azurepier:error:cancelled', 'verdict': 'x'}
+        path = ('DELETE', f'/v1/jobs/{JOB}')
+        url = serve(answers({path: (problem, 410)}))
+        args = ('jobs', 'cancel', JOB, '--customer', 'a', '--entry', url)
+        assert run(*args)[0] == 0
+
+    @pytest.mark.parametrize(
+        'text', ['', '[]', '{"tasks": 1}', '{"task": []}', '{"tasks": []}']
+    )
+    def test_malformed_job_file(self, text):
+        # Guards against a traceback for a job that can't be sent.
+        args = ('jobs', 'submit', '--entry', 'http://127.0.0.1:1')
+        code, _, errors = run(*args, '--customer', 'a', input=text)
+        assert (code, errors.startswith('error: ')) == (3, True)
+
+
+class TestProcesses:
+    @pytest.fixture
+    def fleet(self, serve):
+        """Give the URL of an entry that knows a peer and two endpoints."""
+        seen = []
+        endpoint = serve(
+            answers(
+                {
+                    ('GET', '/v1/status'): (
+                        {'role': 'endpoint', 'name': 'w1', 'incarnation': 'x'},
+                    ),
+                    ('GET', '/v1/events'): ({'events': []},),
+                    ('POST', '/v1/drain'): ({},),
+                },
+                seen,
+            )
+        )
+        status = {
+            'role': 'entry',
+            'name': 'e1',
+            'incarnation': 'y',
+            'entries': [{'name': 'e2', 'web_address': '127.0.0.1:1'}],
+            'endpoints': [{'name': 'w1', 'web_address': endpoint}],
+        }
+        event = {'number': 1, 'at': 1.0, 'wall': 2.0, 'process': 'e1'}
+        event |= {'incarnation': 'y', 'name': 'submitted', 'job_id': JOB}
+        entry = serve(
+            answers(
+                {
+                    ('GET', '/v1/status'): (status,),
+                    ('GET', '/v1/events'): ({'events': [event]},),
+                }
+            )
+        )
+        return entry, seen
+
+    def test_status_lists_processes_that_do_not_answer(self, fleet):
+        # Guards against a dead entry that is missing from the picture.
+        code, out, _ = run('status', '--entry', fleet[0], '--json')
+        found = [(p['name'], p['status'] is None) for p in json.loads(out)]
+        assert code == 0
+        assert found == [('e1', False), ('e2', True), ('w1', False)]
+        code, out, _ = run('status', '--entry', fleet[0])
+        assert 'no answer from entry e2' in out
+
+    def test_events_as_text_and_page(self, fleet, tmp_path):
+        # Guards against a page that was not written or lacks a process.
+        code, out, errors = run('events', '--entry', fleet[0])
+        assert (code, 'submitted' in out) == (0, True)
+        assert 'no events from entry e2' in errors
+        page = tmp_path / 'events.html'
+        assert run('events', '--entry', fleet[0], '--html', page)[0] == 0
+        assert JOB in page.read_text()
+
+    def test_drain_reaches_the_named_process_only(self, fleet):
+        # Guards against draining another process than the one named.
+        args = ('--entry', fleet[0])
+        assert run('drain', 'endpoint', 'w1', *args)[0] == 0
+        assert ('POST', '/v1/drain', {}) in fleet[1]
+        code, _, errors = run('drain', 'entry', 'w1', *args)
+        assert (code, 'there are: e1, e2' in errors) == (3, True)
+
+    def test_no_entry_is_reachable(self):
+        # Guards against an empty answer that looks like an idle system.
+        assert run('status')[0] == 6
+        assert run('status', '--entry', 'http://127.0.0.1:1')[0] == 6
--- a/azurepier/config/_checks.py
+++ b/azurepier/config/_checks.py
@@ -37,8 +37,9 @@
         return '.'.join(self.path) or '(top level)'
 
     def __str__(self):
-        place = f'{self.file}:{self.line}: ' if self.file else ''
-        return f'{place}{self.field}: {self.reason}'
+        parts = [self.file, self.line, self.path and f' {self.field}']
+        parts.append(f' {self.reason}')
+        return ':'.join(str(part) for part in parts if part).strip()
 
 
 def _number(low, high, expected):
