Learn from declared times and keep the urgent reserve on fast endpoints

Cause: a quarter of the load is long tasks, half of them hidden in ordinary kinds, and one slot of each endpoint stood idle for urgent work.

Change: the ratio of a declared time to its kind's typical time is classified by powers of two, and the factor to expect is learned over all kinds. The leader keeps a few fast slots free, sized by the urgent work of the last 10 s, instead of one slot on each endpoint.

--- a/azurepier/endpoint/_credits.py
+++ b/azurepier/endpoint/_credits.py
@@ -14,17 +14,6 @@
     return max(node.options.slots - len(node.running), 0)
 
 
-def _reserve(node):
-    return _state.URGENT_RESERVE if node.options.slots > 1 else 0
-
-
-def ordinary_free(node):
-    """Return how many free slots ordinary work may use."""
-    busy_urgent = sum(1 for r in node.running.values() if r.start.urgent)
-    reserve = max(_reserve(node) - busy_urgent, 0)
-    return max(free_slots(node) - reserve, 0)
-
-
 def long_free(node, now):
     """Return how many more long-running tasks may start."""
     cap = max(math.floor(node.options.slots * _state.LONG_SHARE), 1)
@@ -83,7 +72,7 @@
     links = _connected(node)
     if not links:
         return set()
-    spare = ordinary_free(node) - sum(link.credit for link in links)
+    spare = free_slots(node) - sum(link.credit for link in links)
     told = set()
     receivers = _receivers(node) if spare > 0 else ()
     for _ in range(spare):
@@ -108,15 +97,15 @@
     if a slot is free.
     """
     link.received += 1
-    if link.credit >= 0 and ordinary_free(node) > 0:
+    if link.credit >= 0 and free_slots(node) > 0:
         return True
     if link.credit < 0:
         link.granted += 1
-    if ordinary_free(node) <= 0:
+    if free_slots(node) <= 0:
         # The credit was for a slot that an urgent task has taken since.
         return False
     links = _connected(node)
-    if ordinary_free(node) > sum(other.credit for other in links):
+    if free_slots(node) > sum(other.credit for other in links):
         return True
     donor = max(links, key=lambda other: other.credit)
     donor.granted -= 1
@@ -188,7 +177,7 @@
     links = _receivers(node)
     if link not in links:
         return
-    fair = ordinary_free(node) // len(links)
+    fair = free_slots(node) // len(links)
     while link.credit < fair:
         donor = max(links, key=lambda other: other.credit)
         if donor.credit <= link.credit + 1:
--- a/azurepier/endpoint/_state.py
+++ b/azurepier/endpoint/_state.py
@@ -17,8 +17,6 @@
 LONG_SHARE = 0.75
 # A task that has run for longer counts as long-running from then on.
 LONG_LIMIT_S = 1.0
-# Slots kept free for urgent tasks, on endpoints with more than one slot.
-URGENT_RESERVE = 1
 
 
 @attrs.frozen
--- a/azurepier/entry/_callers.py
+++ b/azurepier/entry/_callers.py
@@ -270,6 +270,7 @@
         node.count('urgent_demoted')
         return False
     use.urgent_s += work_s
+    _dispatch.note_urgent(node, work_s, now)
     return True
 
 
--- a/azurepier/entry/_dispatch.py
+++ b/azurepier/entry/_dispatch.py
@@ -2,11 +2,12 @@
 
 import math
 
+import attrs
+
 from azurepier.entry import _outcomes
-from azurepier.entry import _state
+from azurepier.entry import _sending
 from azurepier import jobs
 from azurepier.kernel import effects
-from azurepier.kernel import messages
 from azurepier import limits
 from azurepier import placement
 from azurepier import queueing
@@ -18,16 +19,44 @@
 HELD_MAX = 500
 # Tasks of a job that are tried in a pass.
 SKIPPED_MAX = 32
-NO_CHANGE = -1
-# Slots of an endpoint for which there are no credits; see
-# `azurepier.endpoint`.
-RESERVED = 1
+# Slots of endpoints that are slower than the fastest by a larger factor are
+# no reserve for urgent work, which would end late there anyway.
+RESERVE_SPEED = 1.5
+# Largest share of all slots that is kept free for urgent work.
+RESERVE_SHARE_MAX = 0.1
+URGENT_WINDOW_S = 10.0
 # Estimates are rough, so a job is given up only when even this share of the
 # expected run time no longer fits.
 LATE_SHARE = 0.3
 RETRY_LATE_S = 1.0
 
 
+@attrs.define(eq=False)
+class _Pass:
+    """State of one attempt to start what waits.
+
+    Parameters
+    ----------
+    ready : list of EndpointView
+        Endpoints with a free slot, the fastest first.
+    plan : Plan
+        When busy slots are expected to become free.
+    fast : float
+        Speed from which on a free slot counts for the urgent reserve.
+    spare : int
+        Fast slots that ordinary tasks may take.
+    """
+
+    node: object
+    now: float
+    ready: list
+    plan: placement.Plan
+    fast: float
+    spare: int
+    held: int = 0
+    out: list = attrs.field(factory=list)
+
+
 def dispatch(node, now):
     """Start what can be started now.
 
@@ -40,61 +69,74 @@
     out = []
     if node.waiting_tasks:
         out += _match(node, now)
-    _update_wants(node)
-    return out + _flush(node)
+    _sending.update_wants(node)
+    return out + _sending.flush(node)
 
 
 def _match(node, now):
-    ready = _ready_views(node, now)
-    out = []
-    if not ready:
-        return out
-    plan = _plan(node, now)
-    held = 0
+    run = _new_pass(node, now)
     candidates = node.queue.candidates()
     try:
         waiting = next(candidates)
-        while ready and held < HELD_MAX:
-            placed = _place(node, waiting, ready, plan, now, out)
+        while run.ready and run.held < HELD_MAX:
+            placed = _place(run, waiting)
             if placed is Placed.BLOCKED:
-                held += len(waiting.tasks)
+                run.held += len(waiting.tasks)
             waiting = candidates.send(placed)
     except StopIteration:
         pass
     finally:
         candidates.close()
-    return out
+    return run.out
 
 
-def _ready_views(node, now):
-    """Return the endpoints that may take a task, the fastest first."""
-    ready = [
+def _new_pass(node, now):
+    views = [
         view
         for view in node.by_conn.values()
         if view.ready
         and not view.leaving
-        and view.free > 0
         and placement.breaker.allows(view.history.breaker, now)
     ]
-    ready.sort(key=lambda view: -view.history.speed)
-    return ready
+    views.sort(key=lambda view: -view.history.speed)
+    ready = [view for view in views if view.free > 0]
+    fast = views[0].history.speed / RESERVE_SPEED if views else 0.0
+    free = sum(view.free for view in ready if view.history.speed >= fast)
+    slots = sum(view.slots for view in views)
+    spare = free - _urgent_reserve(node, slots, now)
+    plan = placement.Plan(views, now)
+    return _Pass(node, now, ready, plan, fast, spare)
 
 
-def _plan(node, now):
-    views = [
-        view
-        for view in node.by_conn.values()
-        if view.ready
-        and not view.leaving
-        and view.history.breaker.open_until is None
-    ]
-    views.sort(key=lambda view: -view.history.speed)
-    return placement.Plan(views, now)
+def note_urgent(node, work_s, now):
+    """Count accepted urgent work for the size of the reserve."""
+    use = node.urgent_load
+    decay = math.exp((use.since - now) / URGENT_WINDOW_S)
+    use.done_s = use.done_s * decay + work_s
+    use.since = now
 
 
-def _can_run(view, spec, urgent, long_running):
-    if not urgent and view.credit <= 0:
-        return False
+def _urgent_reserve(node, slots, now):
+    """Return how many fast slots to keep free for urgent tasks.
+
+    Notes
+    -----
+    The mean number of slots that urgent work holds, plus twice its square
+    root for fluctuation, as for arrivals at random.
+    """
+    use = node.urgent_load
+    decay = math.exp((use.since - now) / URGENT_WINDOW_S)
+    load = use.done_s * decay / URGENT_WINDOW_S
+    wanted = 1 + math.ceil(load + 2 * math.sqrt(load))
+    return min(wanted, int(slots * RESERVE_SHARE_MAX))
+
+
+def _can_run(run, view, spec, urgent, long_running):
+    if not urgent:
+        if view.credit <= 0:
+            return False
+        if run.spare <= 0 and view.history.speed >= run.fast:
+            return False
     if long_running and view.long_free <= 0:
         return False
     if view.kinds and spec.kind not in view.kinds:
@@ -102,7 +144,8 @@
     return spec.size <= view.largest_size
 
 
-def _place(node, waiting, ready, plan, now, out):
+def _place(run, waiting):
+    node, now = run.node, run.now
     job = node.table.jobs[waiting.job_id]
     customer = waiting.customer
     if not limits.may_start(node.limits, customer, now):
@@ -110,20 +153,21 @@
         if at is not None:
             node.timers.set(('quota', customer), at)
         return Placed.CUSTOMER_BLOCKED
-    found = _choose(node, waiting, job, ready, plan)
+    found = _choose(run, waiting, job)
     if found is None:
         return Placed.BLOCKED
     index, view = found
     task = queueing.pop_task(waiting, index)
     work_s = waiting.work[task]
-    _start(node, view, job, task, work_s, work_s > LONG_LIMIT_S, now)
-    out.append(effects.Record('start', job.id, task, view.name))
+    _sending.start(node, view, job, task, work_s, work_s > LONG_LIMIT_S, now)
+    run.out.append(effects.Record('start', job.id, task, view.name))
+    run.spare -= view.history.speed >= run.fast
     if view.free <= 0 or view.history.breaker.probing:
-        ready.remove(view)
+        run.ready.remove(view)
     return Placed.STARTED
 
 
-def _choose(node, waiting, job, ready, plan):
+def _choose(run, waiting, job):
     """Choose a task of a job and an endpoint for it.
 
     The longest task comes first. If it is held for a faster endpoint, a
@@ -140,96 +184,24 @@
         task = waiting.tasks[-1 - skipped]
         spec = job.spec.tasks[task]
         work_s = waiting.work[task]
-        wanted = (spec.kind, spec.size)
+        long_running = work_s > LONG_LIMIT_S
+        wanted = (spec.kind, spec.size, long_running)
         if wanted != previous:
             previous = wanted
             able = [
                 view
-                for view in ready
-                if _can_run(view, spec, waiting.urgent, work_s > LONG_LIMIT_S)
+                for view in run.ready
+                if _can_run(run, view, spec, waiting.urgent, long_running)
             ]
         if not able:
             continue
-        need = placement.Need(work_s, plan)
-        view = node.choose(able, need)
+        need = placement.Need(work_s, run.plan)
+        view = run.node.choose(able, need)
         if view is not placement.HOLD:
             return count - 1 - skipped, view
     return None
 
 
-def _start(node, view, job, task, work_s, long_running, now):
-    spec = job.spec
-    urgent = job.waiting.urgent
-    seq = view.next_seq
-    view.next_seq += 1
-    view.sent += not urgent
-    view.free -= 1
-    view.long_free -= long_running
-    kind = spec.tasks[task].kind
-    task_start = _state.OpenStart(
-        job, task, kind, work_s, urgent, long_running, now, seq, view
-    )
-    view.open[seq] = task_start
-    job.open[task] = task_start
-    limits.started(node.limits, spec.customer, now)
-    placement.breaker.started(view.history.breaker)
-    waiting = _outcomes.count_waiting(node, spec.customer, -1)
-    limits.demand(node.limits, spec.customer, waiting, now)
-    node.count('starts_sent')
-    view.outbox.append(
-        messages.Start(
-            seq=seq,
-            job_id=job.id,
-            task=task,
-            customer=spec.customer,
-            kind=kind,
-            payload=spec.tasks[task].payload,
-            urgent=urgent,
-            long_running=long_running,
-            idempotent=spec.idempotent,
-            limit_ms=max(math.ceil((job.deadline_at - now) * 1000), 1),
-        )
-    )
-
-
-def _update_wants(node):
-    """Work out how many slots to ask each endpoint for."""
-    views = [v for v in node.by_conn.values() if v.ready and not v.leaving]
-    slots = sum(view.slots for view in views)
-    for view in views:
-        share = node.waiting_tasks * view.slots / slots
-        held = view.credit + len(view.open)
-        missing = max(view.slots - RESERVED - held, 0)
-        view.want = min(math.ceil(share), missing)
-
-
-def _flush(node):
-    out = []
-    for view in node.by_conn.values():
-        if view.outbox:
-            out.append(effects.Send(view.conn, _start_batch(view)))
-            view.outbox = []
-            view.acked = []
-        elif view.ready and view.want and not view.wanted:
-            # Without this the endpoint would leave slots that become free
-            # to entries that have no work.
-            view.wanted = view.want
-            out.append(effects.Send(view.conn, messages.Want(count=view.want)))
-            node.count('wants_sent')
-        if view.cancels:
-            msg = messages.CancelTasks(seqs=view.cancels)
-            out.append(effects.Send(view.conn, msg))
-            view.cancels = []
-    return out
-
-
-def _start_batch(view):
-    want = NO_CHANGE
-    if view.want != view.wanted:
-        want = view.wanted = view.want
-    return messages.StartBatch(starts=view.outbox, want=want, acked=view.acked)
-
-
 def late_at(job):
     """Return when the job can no longer end before its deadline."""
     waiting = job.waiting
--- a/azurepier/entry/_outcomes.py
+++ b/azurepier/entry/_outcomes.py
@@ -116,12 +116,12 @@
         node.estimates,
         history.log_speed,
         task_start.job.spec.customer,
-        task_start.kind,
+        task_start.spec,
         outcome.run_ms / 1000,
     )
     history.speed = placement.estimates.speed_of(history.log_speed)
     placement.breaker.succeeded(
-        history.breaker, node.kind_failures, task_start.kind
+        history.breaker, node.kind_failures, task_start.spec.kind
     )
     queueing.admission.completed(
         node.throughput, task_start.work_s, node.waiting_tasks > 0, now
@@ -140,7 +140,7 @@
 def _note_failure(node, task_start, now):
     view = task_start.endpoint
     opened = placement.breaker.failed(
-        view.history.breaker, node.kind_failures, task_start.kind, now
+        view.history.breaker, node.kind_failures, task_start.spec.kind, now
     )
     if not opened:
         return []
--- a/azurepier/entry/_state.py
+++ b/azurepier/entry/_state.py
@@ -54,7 +54,7 @@
 
     job: jobs.Job
     task: int
-    kind: str
+    spec: kernel.TaskSpec
     work_s: float
     urgent: bool
     long_running: bool
@@ -187,6 +187,9 @@
     queued: dict[str, int] = attrs.field(factory=dict)
     waiting_tasks: int = 0
     urgent_use: dict = attrs.field(factory=dict)
+    urgent_load: queueing.admission.Throughput = attrs.field(
+        factory=lambda: queueing.admission.Throughput(since=0.0)
+    )
     next_query: int = 1
     leads: bool = False
     dirty: bool = False
--- a/azurepier/placement/_estimates.py
+++ b/azurepier/placement/_estimates.py
@@ -17,6 +17,12 @@
 KINDS_MAX = 10_000
 DRIFT_WEIGHT = 0.01
 RUN_MIN_S = 1e-4
+# Ratios of declared to typical times are classified by powers of two.
+BIN_MAX = 10
+# Samples that the assumption of no relation counts as.
+DECLARED_PRIOR = 10
+DECLARED_WEIGHT = 0.01
+FACTOR_MAX = 1000.0
 SPEED_MIN = 0.02
 SPEED_MAX = 50.0
 
@@ -57,6 +63,7 @@
     """
 
     kinds: dict = attrs.field(factory=dict)
+    declared: dict = attrs.field(factory=dict)  # bin -> Mean of the factor
     overall: Mean = attrs.field(factory=lambda: Mean(DEFAULT_WORK_S, 1))
     drift: Mean = attrs.field(factory=Mean)
 
@@ -65,11 +72,21 @@
     """Return the expected work of a task, in seconds at speed 1."""
     kinds = estimates.kinds
     kind = kinds.get((customer, task.kind)) or kinds.get((None, task.kind))
-    if kind is not None:
+    if kind is None:
+        if task.duration_ms is not None:
+            return task.duration_ms / 1000
+        return estimates.overall.value
+    if task.duration_ms is None:
         return kind.work.value
-    if task.duration_ms is not None:
-        return task.duration_ms / 1000
-    return estimates.overall.value
+    typical_s = math.exp(kind.log_work.value)
+    factor = estimates.declared.get(_bin(task.duration_ms, typical_s))
+    return typical_s * factor.value if factor else kind.work.value
+
+
+def _bin(declared_ms, typical_s):
+    """Classify a declared time by its ratio to the kind's typical one."""
+    ratio = declared_ms / 1000 / typical_s
+    return round(min(max(math.log2(ratio), -BIN_MAX), BIN_MAX))
 
 
 def _kind(estimates, key):
@@ -82,7 +99,7 @@
     return kind
 
 
-def learn(estimates, speed, customer, kind, run_s):
+def learn(estimates, speed, customer, task, run_s):
     """Take over a measured run time.
 
     Parameters
@@ -90,7 +107,8 @@
     estimates : Estimates
     speed : Mean
         Logarithm of the speed of the endpoint that ran the task; updated.
-    customer, kind : str
+    customer : str
+    task : TaskSpec
         What ran.
     run_s : float
         Measured run time in seconds.
@@ -99,8 +117,10 @@
     log_work = log_run + speed.value
     work_s = math.exp(log_work)
     estimates.overall.add(work_s, KIND_WEIGHT)
-    general = _kind(estimates, (None, kind))
-    own = _kind(estimates, (customer, kind))
+    general = _kind(estimates, (None, task.kind))
+    own = _kind(estimates, (customer, task.kind))
+    if own.log_work.count and task.duration_ms is not None:
+        _learn_declared(estimates, own, task.duration_ms, work_s)
     if own.log_work.count > 1:
         speed.add(own.log_work.value - log_run, SPEED_WEIGHT)
         estimates.drift.add(speed.value, DRIFT_WEIGHT)
@@ -110,6 +130,23 @@
         measured.log_work.add(log_work, KIND_WEIGHT)
 
 
+def _learn_declared(estimates, kind, declared_ms, work_s):
+    """Learn what a declared time far from the typical one means.
+
+    Notes
+    -----
+    Declared times are wrong by large factors, but a task that is declared
+    far above its kind's typical time is often one of the few long ones. The
+    ratio is pooled over all kinds, because such tasks are rare in each.
+    """
+    typical_s = math.exp(kind.log_work.value)
+    key = _bin(declared_ms, typical_s)
+    factor = estimates.declared.get(key)
+    if factor is None:
+        factor = estimates.declared[key] = Mean(1.0, DECLARED_PRIOR)
+    factor.add(min(work_s / typical_s, FACTOR_MAX), DECLARED_WEIGHT)
+
+
 def speed_of(speed):
     """Return the speed from its logarithmic mean, within bounds."""
     return min(max(math.exp(speed.value), SPEED_MIN), SPEED_MAX)
