Turn off Nagle's algorithm on accepted connections

asyncio sets TCP_NODELAY only on sockets that were created with an explicit protocol number; socket.create_server leaves it 0 and accepted sockets inherit that. The test looked at the dialing side alone, which was right. It now looks at both.

--- a/azurepier/wire/_sockets.py
+++ b/azurepier/wire/_sockets.py
@@ -44,7 +44,17 @@
     """
     host, port = split_address(address)
     family = socket.AF_INET6 if ':' in host else socket.AF_INET
-    return socket.create_server((host, port), family=family, backlog=_BACKLOG)
+    # asyncio sets TCP_NODELAY only where the protocol is given explicitly;
+    # accepted sockets inherit it. Without, answers wait 40 ms for an ACK.
+    sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((host, port))
+        sock.listen(_BACKLOG)
+    except OSError:
+        sock.close()
+        raise
+    return sock
 
 
 def bound_address(sock):
--- a/azurepier/wire/tests/test_connection.py
+++ b/azurepier/wire/tests/test_connection.py
@@ -193,8 +193,6 @@
         a, b = Party('a'), Party('b')
 
         async def act(conn, _):
-            sock = conn._transport.get_extra_info('socket')
-            assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
             writes = a.hooks.traffic.writes
             for count in range(100):
                 conn.send(messages.Want(count=count))
@@ -205,6 +203,16 @@
         assert [msg.count for msg in b.messages] == list(range(100))
         assert b.hooks.traffic.received == {messages.Want: 100}
 
+    def test_no_delay(self):
+        """Guards against writes that wait 40 ms for an acknowledgement."""
+
+        async def act(*conns):
+            for conn in conns:
+                sock = conn._transport.get_extra_info('socket')
+                assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+        asyncio.run(connected(Party('a'), Party('b'), act))
+
     def test_large_messages(self):
         """Guards against frames that span many reads."""
         a, b = Party('a'), Party('b')
