Let a cancellation through calls to the platform

In the demo one of two entries took 10 s to stop and reported that closing timed out: a cancelled read of the platform went on for ever. The HTTP library awaits the headers with asyncio.wait_for, which in Python 3.11 drops a cancellation that arrives together with the result. A loop of reads that was cancelled at 300 different points got stuck at the latest at the 7th.

Calls now run in a task of their own, which the caller awaits with asyncio.wait.

--- a/azurepier/platform/_gateway.py
+++ b/azurepier/platform/_gateway.py
@@ -103,10 +103,30 @@
     return _object(path, body)
 
 
-async def _guarded(gateway, path, limit_s, exchange):
+async def _separately(coro):
+    """Await `coro` in a task of its own, so that a cancellation gets through.
+
+    The library uses `asyncio.wait_for`, which up to Python 3.11 drops a
+    cancellation that arrives together with the result. A task that drops it
+    here goes on for the time of one call at most.
+    """
+    task = asyncio.create_task(coro)
+    task.add_done_callback(lambda done: done.cancelled() or done.exception())
     try:
+        await asyncio.wait((task,))
+    except asyncio.CancelledError:
+        task.cancel()
+        raise
+    return task.result()
+
+
+async def _guarded(gateway, path, limit_s, exchange):
+    async def bounded():
         async with asyncio.timeout(limit_s):
             return await exchange
+
+    try:
+        return await _separately(bounded())
     except kernel.PlatformError:
         raise
     except TimeoutError as exc:
--- a/azurepier/platform/tests/test_platform.py
+++ b/azurepier/platform/tests/test_platform.py
@@ -284,6 +284,25 @@
 
         run(scenario)
 
+    def test_cancellation_gets_through(self):
+        # Guards against a process that can't stop: the library drops a
+        # cancellation that arrives together with an answer.
+        async def read_forever(client):
+            while True:
+                await client.read_config()
+
+        async def scenario(server, client):
+            for steps in range(300):
+                task = asyncio.create_task(read_forever(client))
+                for _ in range(steps % 60):
+                    await asyncio.sleep(0)
+                task.cancel()
+                # The limit only keeps a failure from hanging.
+                await asyncio.wait((task,), timeout=30.0)
+                assert task.cancelled()
+
+        run(scenario)
+
     def test_malformed_answers(self):
         # Guards against exceptions of the parser that reach the caller.
         answers = [[], {'kvs': [{}]}, {'kvs': 3}, {'kvs': [{'key': '!'}]}]
