--- /dev/null
+++ b/azurepier/limits/tests/test_machine.py
@@ -0,0 +1,180 @@
+"""Random faults against the bounds of the limits."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from azurepier.limits.tests import cluster as clusters
+
+NAMES = ('e0', 'e1', 'e2', 'e3', 'e4')
+PLANS = {
+    'large': clusters.Plan(200.0, 40, 20),
+    'small': clusters.Plan(2.0, 1, 1),
+    'odd': clusters.Plan(30.0, 7, 3),
+}
+# After the views differed, the bounds hold again when the leases and held
+# minima of that time have ended, by the slowest clock (s).
+SETTLE_S = 6.0 * 1.05 / (1 - clusters.DRIFT) + 0.5
+STEP_S = 0.1
+
+indexes = st.integers(0, len(NAMES) - 1)
+customers = st.sampled_from(sorted(PLANS))
+counts = st.sampled_from([0, 1, 8, 10**6, 10**6])
+durations = st.sampled_from([0.02, 0.2, 0.2, 1.0, 8.0])
+pauses = st.sampled_from([0.0, 0.1, 0.4, 1.0, 2.5, 5.0])
+
+
+class LimitsMachine(stateful.RuleBasedStateMachine):
+    """Faults in any order; the bounds hold whenever the views agree."""
+
+    def __init__(self):
+        super().__init__()
+        self.cluster = clusters.create(NAMES[:3], PLANS)
+        self.loose_until = dict.fromkeys(PLANS, -1.0)
+        self.split = False
+        self.allowed = frozenset()
+
+    @stateful.initialize(
+        allowed=st.sets(st.sampled_from(['split', 'plan'])), first=counts
+    )
+    def begin(self, allowed, first):
+        self.allowed = allowed
+        for name in self.cluster.nodes:
+            for customer in PLANS:
+                clusters.load(self.cluster, name, customer, first, 0.2)
+        self._pass(1.0)
+
+    def _pass(self, duration):
+        end = self.cluster.now + duration
+        while self.cluster.now < end:
+            clusters.run(self.cluster, min(self.cluster.now + STEP_S, end))
+            self._check()
+
+    def _node(self, index):
+        names = sorted(self.cluster.nodes)
+        return names[index % len(names)]
+
+    def _is_frozen(self):
+        now = self.cluster.now
+        return any(n.frozen_until > now for n in self.cluster.nodes.values())
+
+    @stateful.rule(
+        index=indexes,
+        customer=customers,
+        count=counts,
+        task_s=durations,
+        pause=pauses,
+    )
+    def submit(self, index, customer, count, task_s, pause):
+        name = self._node(index)
+        clusters.load(self.cluster, name, customer, count, task_s)
+        self._pass(pause)
+
+    @stateful.rule(
+        loss=st.sampled_from([0.0, 0.2]),
+        twice=st.sampled_from([0.0, 0.3]),
+        longest=st.sampled_from([0.002, 0.3, 1.5]),
+        pause=pauses,
+    )
+    def disturb(self, loss, twice, longest, pause):
+        self.cluster.loss = loss
+        self.cluster.twice = twice
+        self.cluster.delay = (0.0005, longest)
+        self._pass(pause)
+
+    @stateful.precondition(lambda self: not self.split)
+    @stateful.rule(index=indexes, pause=pauses)
+    def leave(self, index, pause):
+        if len(self.cluster.nodes) > 1 and not self._is_frozen():
+            clusters.kill(self.cluster, self._node(index))
+            clusters.agree(self.cluster)
+            self._pass(pause)
+
+    @stateful.precondition(lambda self: not self.split)
+    @stateful.rule(index=indexes, customer=customers, pause=pauses)
+    def join_or_restart(self, index, customer, pause):
+        name = NAMES[index]
+        if self._is_frozen():
+            return
+        if name in self.cluster.nodes:
+            clusters.kill(self.cluster, name)
+        clusters.start(self.cluster, name)
+        clusters.agree(self.cluster)
+        clusters.load(self.cluster, name, customer, 10**6, 0.2)
+        self._pass(pause)
+
+    @stateful.rule(
+        index=indexes, duration=st.sampled_from([0.5, 1.5, 9.0]), pause=pauses
+    )
+    def freeze(self, index, duration, pause):
+        clusters.freeze(self.cluster, self._node(index), duration)
+        self._pass(pause)
+
+    @stateful.precondition(
+        lambda self: 'split' in self.allowed and not self.split
+    )
+    @stateful.rule(mask=st.integers(1, 30), late=st.sampled_from([0.1, 4.0]))
+    def partition(self, mask, late):
+        cluster = self.cluster
+        self.split = True
+        cluster.group = {n: mask >> i & 1 for i, n in enumerate(NAMES)}
+        self._pass(late)
+        for name in cluster.nodes:
+            side = cluster.group[name]
+            same = [n for n in cluster.nodes if cluster.group[n] == side]
+            clusters.see(cluster, name, same)
+
+    @stateful.precondition(lambda self: self.split)
+    @stateful.rule(pause=pauses)
+    def heal(self, pause):
+        self.cluster.group = {}
+        clusters.agree(self.cluster)
+        self.split = False
+        self._pass(pause)
+        self._pass(SETTLE_S)
+
+    @stateful.precondition(lambda self: 'plan' in self.allowed)
+    @stateful.rule(
+        customer=customers, factor=st.sampled_from([0.5, 1, 3]), pause=pauses
+    )
+    def change_plan(self, customer, factor, pause):
+        plan = PLANS[customer]
+        plan = clusters.Plan(
+            plan.starts_per_s * factor,
+            max(1, int(plan.concurrent * factor)),
+            plan.largest_job,
+        )
+        clusters.set_plan(self.cluster, customer, plan)
+        self.loose_until[customer] = self.cluster.now + SETTLE_S
+        self._pass(pause)
+
+    def _views_differ(self):
+        nodes = self.cluster.nodes
+        alive = tuple(sorted(nodes))
+        views = [node.state.members for node in nodes.values()]
+        return self.split or any(view != alive for view in views)
+
+    def _check(self):
+        now = self.cluster.now
+        differ = self._views_differ()
+        for customer, watch in self.cluster.watches.items():
+            if differ:
+                self.loose_until[customer] = now + SETTLE_S
+            if now < self.loose_until[customer]:
+                watch.level = watch.over_tokens = watch.over_running = 0
+                if watch.running > watch.limit.concurrent:
+                    self.loose_until[customer] = now + 2 * STEP_S
+                continue
+            assert watch.over_running <= 0, customer
+            assert watch.over_tokens <= clusters.SLACK, customer
+
+
+TestLimitsMachine = LimitsMachine.TestCase
+TestLimitsMachine.settings = hypothesis.settings(
+    max_examples=600,
+    stateful_step_count=25,
+    deadline=None,
+    derandomize=True,
+    phases=[hypothesis.Phase.explicit, hypothesis.Phase.generate],
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
