--- a/benchmarks/_crest.py
+++ b/benchmarks/_crest.py
@@ -33,7 +33,9 @@
     capacity = run.trace.deployment.capacity * (high - low)
     useful = _work_by_customer(run, low, high, useful_only=True)
     customers = _shares(run, jobs, useful, capacity)
-    owing = [part['ratio'] for part in customers.values() if part['limited']]
+    ratios = {True: [], False: []}
+    for part in customers.values():
+        ratios[part['limited']].append(part['ratio'])
     return {
         'goodput': sum(useful.values()) / capacity,
         'busy': sum(_work_by_customer(run, low, high).values()) / capacity,
@@ -41,7 +43,8 @@
         'refusal_excess_ms': (refusal_s - trip_s) * 1000,
         'handle_ms': _measures.quantile(run.submit_cpu_s, 0.99) * 1000,
         'recovery_s': recovery_s(run),
-        'fairness': min(owing, default=float('nan')),
+        'fairness': min(ratios[True], default=float('nan')),
+        'light_served': min(ratios[False], default=float('nan')),
         'late_before': _late_share(run, *bounds[REFERENCE : CREST + 1]),
         'late_after': _late_share(run, *bounds[AFTER : AFTER + 2]),
         'customers': customers,
@@ -92,23 +95,30 @@
 
     Notes
     -----
-    What is shared is all useful work. Only customers that want more than
-    they are owed are `limited` by their share.
+    What is shared is all useful work. Customers that want more than they
+    are owed are `limited` by their share. The others are owed all that they
+    want; their ratio is the work of their jobs that completed in time, also
+    after the crest, over the work of all their jobs.
     """
     demand = dict.fromkeys(run.trace.weights, 0.0)
     for job in jobs:
         demand[job.customer] += job.work_s
     owed = fair_shares(demand, run.trace.weights, sum(received.values()))
-    return {
-        name: {
-            'demand': demand[name] / capacity,
+    served = dict.fromkeys(demand, 0.0)
+    for job in jobs:
+        served[job.customer] += job.work_s * in_time(run, job)
+    customers = {}
+    for name, wanted in demand.items():
+        limited = owed[name] < wanted
+        got = received[name] if limited else served[name]
+        customers[name] = {
+            'demand': wanted / capacity,
             'owed': owed[name] / capacity,
             'received': received[name] / capacity,
-            'ratio': received[name] / owed[name] if owed[name] else 1.0,
-            'limited': owed[name] < demand[name],
+            'ratio': got / owed[name] if owed[name] else 1.0,
+            'limited': limited,
         }
-        for name in demand
-    }
+    return customers
 
 
 def fair_shares(demand, weights, amount):
--- a/benchmarks/_measures.py
+++ b/benchmarks/_measures.py
@@ -52,7 +52,8 @@
         `p50` and `p99` of the ratio per job, the ratios of the quantiles,
         and `lost`: jobs without a result. The ideal has no delay at all;
         `p50_net` and `p99_net` leave out the client's round trip, which no
-        dispatcher can avoid.
+        dispatcher can avoid. `p99_by_class` has the urgent jobs, those with
+        long tasks and the others.
     """
     trace = run.trace
     ideal = _ideal.ideal_responses(trace.deployment, trace.jobs)
@@ -69,11 +70,25 @@
         'p99_net': quantile(net, 0.99),
         'ratio_of_p50': quantile(got, 0.5) / quantile(best, 0.5),
         'ratio_of_p99': quantile(got, 0.99) / quantile(best, 0.99),
+        'p99_by_class': _by_class(jobs, ratios, 0.99),
         'jobs': len(jobs),
         'lost': sum(value == INFINITE for value in got),
     }
 
 
+def _by_class(jobs, values, share):
+    """Return a quantile for each class of jobs."""
+    classes = {}
+    for job, value in zip(jobs, values):
+        name = 'ordinary'
+        if job.urgent:
+            name = 'urgent'
+        elif any(task.long for task in job.tasks):
+            name = 'long'
+        classes.setdefault(name, []).append(value)
+    return {name: quantile(classes[name], share) for name in sorted(classes)}
+
+
 def waste_per_task(traffic):
     """Return the messages that started nothing per task started.
 
--- a/benchmarks/bench_crest.py
+++ b/benchmarks/bench_crest.py
@@ -55,7 +55,9 @@
         ' refusal p99 {refusal_ms:.2f} ms (beyond the client round trip'
         ' {refusal_excess_ms:.2f} ms, time in the entry'
         ' {handle_ms:.2f} ms);'
-        ' recovery {recovery_s:.2f} s; fairness {fairness:.3f}'.format(**found)
+        ' recovery {recovery_s:.2f} s; fairness {fairness:.3f},'
+        ' lowest service of customers below their share'
+        ' {light_served:.3f}'.format(**found)
     )
     print(
         '  jobs without a result in time: {late_before:.3f} before the crest,'
--- a/benchmarks/bench_response.py
+++ b/benchmarks/bench_response.py
@@ -67,6 +67,9 @@
         ' of quantiles p50 {ratio_of_p50:.3f} p99 {ratio_of_p99:.2f};'
         ' {jobs} jobs, {lost} lost'.format(**found)
     )
+    classes = found['p99_by_class'].items()
+    shown = ', '.join(f'{name} {value:.2f}' for name, value in classes)
+    print(f'  response/ideal p99 by class: {shown}')
     print(
         f'  wasted messages per task {found["wasted"]:.4f}'
         f' of {found["starts"]} starts: {found["wasted_by_type"]}'
