--- /dev/null
+++ b/azurepier/client/tests/fakes.py
@@ -0,0 +1,92 @@
+"""An entry that answers each request as a test says."""
+
+import asyncio
+import json
+
+import attrs
+
+# What an entry can do instead of answering.
+CLOSE = 'close'
+SILENCE = 'silence'
+GARBAGE = 'garbage'
+
+
+def complete(*outputs):
+    """Return the answer of a complete job."""
+    results = [{'task': i, 'output': o} for i, o in enumerate(outputs)]
+    return 200, {'results': results}
+
+
+def refused(type_, verdict='not_run', retry_after_ms=None):
+    """Return a refusal."""
+    document = {'type': f'urn:azurepier:error:{type_}', 'verdict': verdict}
+    if retry_after_ms is not None:
+        document['retry_after_ms'] = retry_after_ms
+    return 429, document
+
+
+@attrs.define
+class FakeEntry:
+    """Answers submissions in turn from `script`, then with `complete(1)`.
+
+    `seen` holds (method, job id, body) of all requests but those for ids.
+    """
+
+    script: list = attrs.field(factory=list)
+    seen: list = attrs.field(factory=list)
+    id_requests: int = 0
+    server: object = None
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        return self
+
+    async def stop(self):
+        self.server.close()
+
+    @property
+    def url(self):
+        host, port = self.server.sockets[0].getsockname()
+        return f'http://{host}:{port}'
+
+    async def _serve(self, reader, writer):
+        try:
+            while await self._one(reader, writer):
+                pass
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def _one(self, reader, writer):
+        head = (await reader.readuntil(b'\r\n\r\n')).decode().split('\r\n')
+        method, path, _ = head[0].split()
+        fields = dict(line.lower().split(': ') for line in head[1:] if line)
+        body = await reader.readexactly(int(fields.get('content-length', 0)))
+        answer = self._answer(method, path, body)
+        if answer == CLOSE:
+            return False
+        if answer == SILENCE:
+            await reader.read()
+            return False
+        if answer == GARBAGE:
+            answer = 502, 'bad gateway'
+        content = json.dumps(answer[1]).encode()
+        writer.write(
+            b'HTTP/1.1 %d X\r\ncontent-type: application/json\r\n'
+            b'content-length: %d\r\n\r\n%b'
+            % (answer[0], len(content), content)
+        )
+        await writer.drain()
+        return True
+
+    def _answer(self, method, path, body):
+        if path == '/v1/job-ids':
+            count, base = json.loads(body)['count'], self.id_requests * 10_000
+            self.id_requests += 1
+            port = self.url.rpartition(':')[2]
+            ids = [f'{port}-{base + i}' for i in range(count)]
+            return 200, {'ids': ids, 'expires_in_s': 600}
+        job_id = path.split('?')[0].rpartition('/')[2]
+        self.seen.append((method, job_id, body))
+        return self.script.pop(0) if self.script else complete(1)
