Add the daemon: settings, shell, worker client and start of both processes

The shell owns a node, carries its effects out and keeps one alarm. An entry serves HTTP in the same event loop and exchanges members and configuration with the platform; an endpoint process runs tasks on its worker.

The worker client is written on httptools. blacksheep's client was tried first and ruled out: it sends a request again when a kept connection turns out to be closed, which could run a task twice, takes a body that was cut short for a whole one, gives up after 60 s, and costs 624 us of processor time per call over loopback where this one costs 96 us.

--- /dev/null
+++ b/azurepier/daemon/_checks.py
@@ -0,0 +1,104 @@
+"""Checks of single settings.
+
+Each check returns the value to use, or raises `ValueError` with a reason.
+"""
+
+import re
+import urllib.parse
+
+from azurepier import wire
+
+MAX_SLOTS = 1024
+MAX_SIZE = 2**31 - 1
+MAX_LIST_ITEMS = 1000
+_NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,63}')
+_WILDCARDS = frozenset({'0.0.0.0', '::'})
+
+
+def name(value):
+    """Accept a name of letters, digits, dots, dashes and underscores."""
+    if not isinstance(value, str) or not _NAME.fullmatch(value):
+        raise ValueError(
+            'must be 1 to 64 letters, digits, ".", "-" or "_", starting with '
+            'a letter or digit'
+        )
+    return value
+
+
+def text(value):
+    """Accept a string that is not empty."""
+    if not isinstance(value, str) or not value or not value.isprintable():
+        raise ValueError('must be a printable string that is not empty')
+    return value
+
+
+def listen_address(value):
+    """Accept "host:port"; port 0 lets the system choose one."""
+    wire.split_address(text(value))
+    return value
+
+
+def address(value):
+    """Accept "host:port" that others can connect to."""
+    host, port = wire.split_address(text(value))
+    if port == 0:
+        raise ValueError('must not have port 0')
+    if is_wildcard(value):
+        raise ValueError(f'others cannot connect to {host}')
+    return value
+
+
+def is_wildcard(value):
+    """Tell whether an address stands for all addresses of the machine."""
+    return wire.split_address(value)[0] in _WILDCARDS
+
+
+def url(value):
+    """Accept a base URL; a trailing slash is removed."""
+    parts = urllib.parse.urlsplit(text(value))
+    if parts.scheme not in ('http', 'https') or not parts.hostname:
+        raise ValueError('must be an http or https URL')
+    if parts.query or parts.fragment or parts.username:
+        raise ValueError('must not have a query, fragment or user')
+    if parts.port == 0:
+        raise ValueError('must not have port 0')
+    return value.rstrip('/')
+
+
+def plain_url(value):
+    """Accept a base URL without TLS."""
+    if not url(value).startswith('http:'):
+        raise ValueError('must be an http URL')
+    return url(value)
+
+
+def integer(highest):
+    """Return a check for an integer from 1 to `highest`."""
+
+    def check(value):
+        if type(value) is not int or not 1 <= value <= highest:
+            raise ValueError(f'must be an integer from 1 to {highest}')
+        return value
+
+    return check
+
+
+def list_of(check):
+    """Return a check for a list whose items pass `check`."""
+
+    def check_list(value):
+        if not isinstance(value, list) or len(value) > MAX_LIST_ITEMS:
+            raise ValueError(
+                f'must be a list of at most {MAX_LIST_ITEMS} items'
+            )
+        items = []
+        for index, item in enumerate(value):
+            try:
+                items.append(check(item))
+            except ValueError as exc:
+                raise ValueError(f'item {index}: {exc}') from None
+        if len(set(items)) != len(items):
+            raise ValueError('must not name an item twice')
+        return tuple(items)
+
+    return check_list
--- /dev/null
+++ b/azurepier/daemon/_entry.py
@@ -0,0 +1,87 @@
+"""Start of an entry."""
+
+import asyncio
+import contextlib
+
+from azurepier.daemon import _metrics
+from azurepier.daemon import _platform
+from azurepier.daemon import _process
+from azurepier.daemon import _web
+from azurepier import entry
+from azurepier.kernel import messages
+from azurepier import web
+from azurepier import wire
+
+
+def _info_of(node):
+    """Return what the platform's list says of an entry."""
+    opt = node.options
+    return messages.EntryInfo(
+        name=opt.name,
+        incarnation=node.incarnation,
+        address=opt.address,
+        web_address=opt.web_address,
+        domain=opt.domain,
+        draining=node.draining,
+    )
+
+
+def _options(settings, sock, web_sock):
+    web_address = f'http://{wire.bound_address(web_sock)}'
+    return entry.Options(
+        name=settings.name,
+        domain=settings.domain,
+        address=settings.address or wire.bound_address(sock),
+        web_address=settings.web_address or web_address,
+        seeds=settings.seeds,
+    )
+
+
+async def start_entry(settings, rng):
+    """Start an entry.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+    rng : random.Random
+
+    Returns
+    -------
+    Process
+
+    Raises
+    ------
+    AzurepierError
+        If an address can't be bound or a key file can't be read.
+    """
+    loop = asyncio.get_running_loop()
+    async with contextlib.AsyncExitStack() as stack:
+        sock = stack.enter_context(_process.bind(settings, 'listen'))
+        web_sock = stack.enter_context(_process.bind(settings, 'web_listen'))
+        options = _options(settings, sock, web_sock)
+        node = entry.create(options, rng, loop.time())
+        metrics = _metrics.create()
+        shell, keys = _process.make_shell(entry, node, settings, metrics)
+        stack.push_async_callback(shell.close)
+        reader = _process.make_reader(settings, shell, rng)
+        if reader is not None:
+            tasks = _platform.serve_entry(reader, lambda: _info_of(node))
+            stack.push_async_callback(_platform.leave, reader, tasks)
+        app = web.create_app(shell, metrics.registry)
+        server = await _web.serve(app, web_sock)
+        stack.push_async_callback(server.close)
+        listener = await wire.listen(sock, shell.hooks)
+        stack.callback(listener.close)
+        process = _process.Process(
+            shell,
+            keys,
+            stack.pop_all(),
+            {
+                'listen': wire.bound_address(sock),
+                'web_listen': wire.bound_address(web_sock),
+                'address': options.address,
+                'web_address': options.web_address,
+            },
+        )
+    _process.announce_start(process)
+    return process
--- /dev/null
+++ b/azurepier/daemon/_keys.py
@@ -0,0 +1,50 @@
+"""Shared keys, which can be replaced while the process runs."""
+
+import pathlib
+
+import attrs
+
+from azurepier.kernel import SettingsError
+
+MIN_KEY_BYTES = 16
+MAX_KEY_BYTES = 4096
+
+
+def _read_key(path):
+    try:
+        key = pathlib.Path(path).read_bytes().strip()
+    except OSError as exc:
+        raise SettingsError(f'{path}: {exc.strerror}') from exc
+    if not MIN_KEY_BYTES <= len(key) <= MAX_KEY_BYTES:
+        raise SettingsError(
+            f'{path}: a key has {MIN_KEY_BYTES} to {MAX_KEY_BYTES} bytes'
+        )
+    return key
+
+
+def read(paths):
+    """Return the keys in files, in order.
+
+    Raises
+    ------
+    SettingsError
+        If a file can't be read or its key is too short or too long.
+    """
+    return tuple(_read_key(path) for path in paths)
+
+
+@attrs.define
+class Keys:
+    """The keys in force: the first makes proofs, all are accepted."""
+
+    paths: tuple
+    current: tuple = ()
+
+    def reload(self):
+        """Read all files; if one is invalid, the old keys stay in force.
+
+        Raises
+        ------
+        SettingsError
+        """
+        self.current = read(self.paths)
--- /dev/null
+++ b/azurepier/daemon/_logs.py
@@ -0,0 +1,142 @@
+"""Log records as JSON lines with stable event names."""
+
+import logging
+import sys
+import time
+
+import attrs
+from pythonjsonlogger.json import JsonFormatter
+
+from azurepier.kernel import SettingsError
+
+# Of identical faults, this many are logged in each period.
+BURST = 5
+PERIOD_S = 10.0
+# Oldest faults are forgotten first once there are this many different ones.
+MAX_FAULTS = 1024
+
+_FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
+_RENAMED = {'asctime': 'time', 'levelname': 'level', 'message': 'event'}
+_IDENTITY = ('peer', 'address', 'reason', 'error')
+
+
+@attrs.define
+class _Fault:
+    since: float
+    count: int = 0
+    suppressed: int = 0
+
+
+@attrs.define(eq=False)
+class RateLimit:
+    """Filter that drops repetitions of a warning or an error.
+
+    The first record after a period with dropped records has the field
+    `suppressed`, the number of dropped ones.
+    """
+
+    clock: object = time.monotonic
+    dropped: int = 0
+    _faults: dict = attrs.field(factory=dict)
+
+    def filter(self, record):
+        """Tell whether a record is written."""
+        if record.levelno < logging.WARNING:
+            return True
+        details = [str(getattr(record, key, '')) for key in _IDENTITY]
+        key = (record.name, record.msg, *details)
+        now = self.clock()
+        fault = self._faults.get(key)
+        if fault is None:
+            fault = self._new_fault(key, now)
+        elif now - fault.since >= PERIOD_S:
+            if fault.suppressed:
+                record.suppressed = fault.suppressed
+            fault = self._new_fault(key, now)
+        fault.count += 1
+        if fault.count > BURST:
+            fault.suppressed += 1
+            self.dropped += 1
+            return False
+        return True
+
+    def _new_fault(self, key, now):
+        self._faults.pop(key, None)
+        while len(self._faults) >= MAX_FAULTS:
+            del self._faults[next(iter(self._faults))]
+        fault = self._faults[key] = _Fault(now)
+        return fault
+
+
+class _Formatter(JsonFormatter):
+    """Writes the time in UTC."""
+
+    converter = time.gmtime
+    default_time_format = '%Y-%m-%dT%H:%M:%S'
+    default_msec_format = '%s.%03dZ'
+
+
+def make_handler(path):
+    """Return a log handler; "-" is standard error.
+
+    Raises
+    ------
+    SettingsError
+        If the file can't be opened.
+    """
+    try:
+        if path == '-':
+            handler = logging.StreamHandler(sys.stderr)
+        else:
+            handler = logging.FileHandler(path)
+    except OSError as exc:
+        raise SettingsError(f'log: {path}: {exc.strerror}') from exc
+    handler.setFormatter(_Formatter(_FORMAT, rename_fields=_RENAMED))
+    handler.addFilter(RateLimit())
+    return handler
+
+
+def configure(path, name):
+    """Send all log records of the process to `path`.
+
+    Parameters
+    ----------
+    path : str
+        File, or "-" for standard error.
+    name : str
+        Name of the process, in each record as `process`.
+    """
+    handler = make_handler(path)
+    handler.formatter.static_fields = {'process': name}
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(logging.INFO)
+    # These log every request or every connection at INFO.
+    for chatty in ('uvicorn', 'blacksheep', 'asyncio', 'httptools'):
+        logging.getLogger(chatty).setLevel(logging.WARNING)
+    # uvicorn's own handlers would write plain text.
+    for library in ('uvicorn', 'uvicorn.error', 'uvicorn.access'):
+        logging.getLogger(library).handlers.clear()
+        logging.getLogger(library).propagate = True
+
+
+class EventLog:
+    """Writes events of one logger: ``log.info('started', port=1)``.
+
+    The event name is constant text; everything that varies is a field.
+    """
+
+    def __init__(self, name):
+        self._logger = logging.getLogger(name)
+
+    def info(self, event, **fields):
+        """Log a normal event."""
+        self._logger.info(event, extra=fields)
+
+    def warning(self, event, **fields):
+        """Log a fault that the process copes with."""
+        self._logger.warning(event, extra=fields)
+
+    def error(self, event, exc_info=None, **fields):
+        """Log a fault of the process itself."""
+        self._logger.error(event, exc_info=exc_info, extra=fields)
--- /dev/null
+++ b/azurepier/daemon/_process.py
@@ -0,0 +1,137 @@
+"""What both kinds of process share: sockets, start and graceful end."""
+
+import asyncio
+import contextlib
+import random
+
+import attrs
+
+from azurepier.daemon import _keys
+from azurepier.daemon import _logs
+from azurepier.daemon import _metrics
+from azurepier.daemon import _platform
+from azurepier.daemon import _shell
+from azurepier.kernel import SettingsError
+from azurepier import platform
+from azurepier import timeline
+from azurepier import wire
+
+DRAIN_LIMIT_S = 30.0
+CLOSE_LIMIT_S = 10.0
+RING_EVENTS = 20_000
+
+_log = _logs.EventLog('azurepier.daemon')
+
+
+@attrs.define(eq=False)
+class Process:
+    """A started process.
+
+    Parameters
+    ----------
+    shell : Shell
+    keys : Keys
+    closers : contextlib.AsyncExitStack
+        Ends everything that was started, in reverse order.
+    addresses : dict
+        Where the process listens, by name of the setting.
+    stopping : asyncio.Event
+        Set by the first signal that asks the process to stop.
+    """
+
+    shell: _shell.Shell
+    keys: _keys.Keys
+    closers: contextlib.AsyncExitStack
+    addresses: dict
+    stopping: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+
+def bind(settings, key):
+    """Return a socket that listens on the address of a setting.
+
+    Raises
+    ------
+    SettingsError
+    """
+    address = getattr(settings, key)
+    try:
+        return wire.bind(address)
+    except OSError as exc:
+        raise SettingsError(
+            f'{key}: cannot listen on {address}: {exc.strerror or exc}'
+        ) from exc
+
+
+def make_shell(module, node, settings, metrics):
+    """Return a shell for a node and the keys it uses."""
+    keys = _keys.Keys(settings.key_files)
+    keys.reload()
+    ring = timeline.Ring(RING_EVENTS, settings.name, node.incarnation)
+    shell = _shell.Shell(module, node, ring, keys=lambda: keys.current)
+    _metrics.add_shell(metrics, shell)
+    return shell, keys
+
+
+def make_reader(settings, shell, rng):
+    """Return a reader of the platform, None if the settings name none."""
+    if settings.platform is None:
+        return None
+    # The client's own generator: the node's must not depend on timing.
+    client = platform.Client(
+        settings.platform, random.Random(rng.getrandbits(64))
+    )
+    return _platform.Reader(client, shell.feed, rng)
+
+
+def announce_start(process):
+    """Log that the process serves, with the actual addresses."""
+    node = process.shell.node
+    _log.info(
+        'started',
+        role=process.shell.status()['role'],
+        incarnation=node.incarnation,
+        **process.addresses,
+    )
+
+
+def stop(process):
+    """Begin a graceful end; a second call has no effect."""
+    if not process.stopping.is_set():
+        process.stopping.set()
+        _log.info('draining', incarnation=process.shell.node.incarnation)
+        process.shell.drain()
+
+
+def reload_keys(process):
+    """Read the key files again; on a fault the old keys stay in force."""
+    try:
+        process.keys.reload()
+    except SettingsError as exc:
+        _log.warning('keys_rejected', reason=str(exc))
+    else:
+        _log.info('keys_reloaded', count=len(process.keys.current))
+
+
+async def finish(process):
+    """Wait until the process was asked to stop, drain and close it.
+
+    Returns
+    -------
+    bool
+        Whether the drain ended in time.
+    """
+    await process.stopping.wait()
+    drained = True
+    try:
+        async with asyncio.timeout(DRAIN_LIMIT_S):
+            await process.shell.stopped.wait()
+    except TimeoutError:
+        drained = False
+        _log.warning('drain_timed_out', limit_s=DRAIN_LIMIT_S)
+    try:
+        async with asyncio.timeout(CLOSE_LIMIT_S):
+            await process.closers.aclose()
+    except TimeoutError:
+        _log.warning('close_timed_out', limit_s=CLOSE_LIMIT_S)
+    _log.info('stopped', drained=drained)
+    return drained
--- /dev/null
+++ b/azurepier/daemon/tests/test_process.py
@@ -0,0 +1,224 @@
+"""Tests of whole processes with stand-ins for worker and platform."""
+
+import asyncio
+import contextlib
+import functools
+import json
+import os
+import random
+import signal
+import sys
+
+import pytest
+
+from azurepier import config
+from azurepier.daemon import _http
+from azurepier.daemon import _main
+from azurepier.daemon import _platform
+from azurepier.daemon import _process
+from azurepier.daemon import _settings
+from azurepier.daemon import start_endpoint
+from azurepier.daemon import start_entry
+from azurepier.daemon.tests.test_shell import until
+from azurepier.kernel import SettingsError
+from azurepier import platform
+from azurepier import wire
+from standins import _server
+from standins import platform as platform_standin
+from standins import worker as worker_standin
+
+LOCAL = '127.0.0.1:0'
+PLAN = config.Plan(name='p', starts_per_s=1000, concurrent=100, queue=1000)
+CONFIG = config.Configuration(
+    version=1,
+    edit_id='e',
+    author='a',
+    customers={'c': config.Customer(name='c', plan='p')},
+    plans={'p': PLAN},
+)
+JOB = {
+    'customer': 'c',
+    'deadline_ms': 20_000,
+    'tasks': [{'kind': 'echo', 'payload': n} for n in range(20)],
+}
+
+
+async def start_platform(stack):
+    """Start a stand-in platform; return it and its URL."""
+    state = platform_standin.Platform()
+    handle = functools.partial(platform_standin.handle, state)
+    state.running = await _server.start(handle)
+    stack.push_async_callback(state.running.close)
+    return state, f'http://127.0.0.1:{state.running.port}'
+
+
+async def start_cluster(stack, url, key_files=()):
+    """Start an entry and an endpoint process with a worker."""
+    worker = worker_standin.Worker()
+    handle = functools.partial(worker_standin.handle, worker)
+    server = await _server.start(handle)
+    stack.push_async_callback(server.close)
+    common = {'domain': 'd', 'platform': url, 'key_files': key_files}
+    front = await start_entry(
+        _settings.EntrySettings(
+            name='e1', listen=LOCAL, web_listen=LOCAL, **common
+        ),
+        random.Random(1),
+    )
+    back = await start_endpoint(
+        _settings.EndpointSettings(
+            name='w1',
+            worker='m1',
+            worker_url=f'http://127.0.0.1:{server.port}',
+            slots=8,
+            listen_web=LOCAL,
+            seeds=(front.addresses['listen'],),
+            **common,
+        ),
+        random.Random(2),
+    )
+    return front, back
+
+
+async def call(address, method, path, value=None):
+    """Make an HTTP request; return status and body."""
+    body = b'' if value is None else json.dumps(value).encode()
+    pool = _http.Pool(*wire.split_address(address), 10_000_000)
+    answer = await pool.call(method, path, body)
+    pool.close()
+    return answer
+
+
+async def put_config(url):
+    """Write the configuration to the platform."""
+    client = platform.Client(url, random.Random(3))
+    await client.replace_config(config.to_json(CONFIG), 0)
+    await client.close()
+
+
+async def end(process):
+    """Stop a process gracefully."""
+    _process.stop(process)
+    assert await _process.finish(process)
+
+
+class TestCluster:
+    def test_job(self, tmp_path):
+        """Guards against parts that work alone but not together."""
+        path = tmp_path / 'key'
+        path.write_text('0123456789abcdef')
+
+        async def run():
+            async with contextlib.AsyncExitStack() as stack:
+                _, url = await start_platform(stack)
+                await put_config(url)
+                front, back = await start_cluster(stack, url, (str(path),))
+                web = front.addresses['web_listen']
+                await until(lambda: front.shell.status()['config_version'])
+                await until(lambda: front.shell.status()['endpoints'])
+                status, body = await call(web, 'POST', '/v1/jobs', JOB)
+                assert status == 200, body
+                outputs = [r['output'] for r in json.loads(body)['results']]
+                assert outputs == list(range(20))
+                for address in (web, back.addresses['listen_web']):
+                    for name in ('/healthz', '/metrics', '/v1/events'):
+                        assert (await call(address, 'GET', name))[0] == 200
+                _, body = await call(web, 'GET', '/metrics')
+                assert b'azurepier_messages_sent_total{type="Start' in body
+                assert b'azurepier_entry_config_version 1.0' in body
+                await asyncio.gather(end(back), end(front))
+
+        asyncio.run(run())
+
+    def test_platform_that_is_down_at_the_start(self, monkeypatch):
+        """Guards against processes that need the platform to start."""
+        monkeypatch.setattr(_platform, 'RETRY_MIN_S', 0.02)
+        monkeypatch.setattr(_platform, 'RETRY_MAX_S', 0.05)
+
+        async def run():
+            async with contextlib.AsyncExitStack() as stack:
+                state, url = await start_platform(stack)
+                await put_config(url)
+                state.down = True
+                front, back = await start_cluster(stack, url)
+                web = front.addresses['web_listen']
+                assert (await call(web, 'GET', '/healthz'))[0] == 200
+                assert (await call(web, 'GET', '/readyz'))[0] == 503
+                state.down = False
+                await until(lambda: back.shell.status()['config_version'])
+                assert (await call(web, 'GET', '/readyz'))[0] == 200
+                client = platform.Client(url, random.Random(4))
+                names = [info.name for info in await client.list_entries()]
+                assert names == ['e1']
+                await end(back)
+                await end(front)
+                assert await client.list_entries() == []
+                await client.close()
+
+        asyncio.run(run())
+
+    def test_address_in_use(self):
+        """Guards against a start that fails without naming the setting."""
+
+        async def run():
+            with contextlib.closing(wire.bind(LOCAL)) as sock:
+                settings = _settings.EntrySettings(
+                    name='e1',
+                    domain='d',
+                    listen=LOCAL,
+                    web_listen=wire.bound_address(sock),
+                )
+                with pytest.raises(SettingsError, match='web_listen'):
+                    await start_entry(settings, random.Random(1))
+
+        asyncio.run(run())
+
+
+class TestSignals:
+    def test_signals(self, tmp_path):
+        """Guards against a process that ignores a signal or loses work."""
+        key, log = tmp_path / 'key', tmp_path / 'log'
+        key.write_text('0123456789abcdef')
+        path = tmp_path / 'settings.toml'
+        path.write_text(
+            f'name = "e1"\ndomain = "d"\nlisten = "{LOCAL}"\n'
+            f'web_listen = "{LOCAL}"\nlog = "{log}"\nkey_files = ["{key}"]\n'
+        )
+
+        def logged(event):
+            lines = log.read_text().splitlines() if log.exists() else []
+            found = [json.loads(line) for line in lines]
+            return [line for line in found if line['event'] == event]
+
+        async def run():
+            code = 'from azurepier.daemon import main; main()'
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, '-c', code, 'entry', str(path)
+            )
+            await until(lambda: logged('started'))
+            assert not logged('started')[0]['listen'].endswith(':0')
+            process.send_signal(signal.SIGHUP)
+            await until(lambda: logged('keys_reloaded'))
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+            assert logged('stopped')[0]['drained']
+
+        asyncio.run(run())
+
+    def test_second_signal(self, monkeypatch):
+        """Guards against a drain that an operator can't cut short."""
+        codes = []
+        monkeypatch.setattr(os, '_exit', codes.append)
+
+        async def run():
+            settings = _settings.EntrySettings(
+                name='e1', domain='d', listen=LOCAL, web_listen=LOCAL
+            )
+            process = await start_entry(settings, random.Random(1))
+            _main._on_stop_signal(process)
+            assert process.shell.node.draining and not codes
+            _main._on_stop_signal(process)
+            assert codes == [1]
+            await _process.finish(process)
+
+        asyncio.run(run())
