Refuse early in an overload, by each customer's share

Cause: jobs were refused only when they would miss their deadline, so at a crest the queue grew to the deadlines' length, jobs that ran in part missed them, and response times stayed high for over 25 s after it.

Near its deadline a large job is placed like a small one. Urgent tasks that run count against the reserve.

--- a/azurepier/entry/_callers.py
+++ b/azurepier/entry/_callers.py
@@ -24,6 +24,9 @@
 URGENT_BURST_S = 20.0
 URGENT_HALF_LIFE_S = 10.0
 RETRY_SOON_S = 1.0
+OVERLOAD_RETRY_S = 2.0
+# Share of the nominal capacity that a busy fleet reaches.
+USABLE_SHARE = 0.9
 
 
 def on_new_ids(node, event, now):
@@ -194,7 +197,7 @@
         return refuse('answers-full', 'memory is full', RETRY_SOON_S)
     if not is_possible(node, spec) and now - node.started_at > SETTLE_S:
         return refuse('impossible', 'no endpoint takes its kinds and sizes')
-    return _check_deadline(node, spec, plan, refuse)
+    return _check_load(node, spec, plan, refuse, now)
 
 
 def _refuser(job_id):
@@ -228,27 +231,48 @@
 
 def _rate(node):
     """Return the work per second that this entry's jobs can expect."""
+    if node.waiting_tasks and node.throughput.rate:
+        return node.throughput.rate
     capacity = sum(
         view.slots * view.history.speed
         for view in node.by_conn.values()
         if view.ready and not view.leaving
     )
-    entries = 1 + len({peer.name for peer in node.peers.values()})
-    return max(node.throughput.rate, capacity / entries)
+    return capacity * USABLE_SHARE
 
 
-def _check_deadline(node, spec, plan, refuse):
+def _accepted_rate(node, customer, now):
+    accepted = node.accepted.get(customer)
+    if accepted is None:
+        return 0.0
+    return queueing.admission.accepted_rate(accepted, now)
+
+
+def _check_load(node, spec, plan, refuse, now):
+    """Refuse what would miss its deadline or exceed its share."""
     works = _works(node, spec)
     ahead = node.queue.ahead(spec.customer, spec.urgent)
-    wait_s = queueing.admission.expected_wait(
-        ahead, sum(works), plan.weight, _rate(node)
-    )
+    rate = _rate(node)
+    if rate <= 0 or ahead.all_s <= 0:
+        node.overload.active = False
+        return None
+    admission = queueing.admission
+    wait_s = admission.expected_wait(ahead, sum(works), plan.weight, rate)
     left_s = spec.deadline_ms / 1000
-    if ahead.all_s <= 0 or not queueing.admission.misses_deadline(
-        wait_s, 0.0, left_s
+    accepted_rate = _accepted_rate(node, spec.customer, now)
+    overloaded = not spec.urgent and admission.is_overloaded(
+        node.overload, ahead.all_s / rate
+    )
+    if (
+        overloaded
+        and left_s <= admission.INTERACTIVE_S
+        and admission.exceeds_share(ahead, plan.weight, rate, accepted_rate)
     ):
+        detail = 'the fleet is overloaded'
+        return refuse('overloaded', detail, OVERLOAD_RETRY_S)
+    if not admission.misses_deadline(wait_s, 0.0, left_s):
         return None
-    retry_s = queueing.admission.retry_after(wait_s, left_s)
+    retry_s = admission.retry_after(wait_s, left_s)
     return refuse(
         'overloaded', f'the expected wait is {wait_s:.1f} s', retry_s
     )
@@ -288,8 +312,19 @@
     cfg = node.adoption.current
     plan = cfg.plans[cfg.customers[spec.customer].plan]
     urgent = _counts_as_urgent(node, spec, sum(works), max(works), now)
+    accepted = node.accepted.setdefault(
+        spec.customer, queueing.admission.Accepted()
+    )
+    queueing.admission.note_accepted(accepted, sum(works), now)
     waiting = queueing.Waiting(
-        job_id, spec.customer, urgent, plan.weight, now, [], []
+        job_id=job_id,
+        customer=spec.customer,
+        urgent=urgent,
+        weight=plan.weight,
+        queued_at=now,
+        deadline_at=now + spec.deadline_ms / 1000,
+        tasks=[],
+        work=[],
     )
     queueing.fill(waiting, works)
     count = len(spec.tasks)
--- a/azurepier/entry/_dispatch.py
+++ b/azurepier/entry/_dispatch.py
@@ -23,7 +23,7 @@
 # no reserve for urgent work, which would end late there anyway.
 RESERVE_SPEED = 1.5
 # Largest share of all slots that is kept free for urgent work.
-RESERVE_SHARE_MAX = 0.1
+RESERVE_SHARE_MAX = 0.05
 URGENT_WINDOW_S = 10.0
 # Estimates are rough, so a job is given up only when even this share of the
 # expected run time no longer fits.
@@ -102,6 +102,7 @@
     ready = [view for view in views if view.free > 0]
     fast = views[0].history.speed / RESERVE_SPEED if views else 0.0
     free = sum(view.free for view in ready if view.history.speed >= fast)
+    free += sum(view.urgent for view in views)
     slots = sum(view.slots for view in views)
     spare = free - _urgent_reserve(node, slots, now)
     plan = placement.Plan(views, now)
@@ -117,7 +118,7 @@
 
 
 def _urgent_reserve(node, slots, now):
-    """Return how many fast slots to keep free for urgent tasks.
+    """Return how many fast slots urgent tasks hold or may take at once.
 
     Notes
     -----
--- a/azurepier/entry/_outcomes.py
+++ b/azurepier/entry/_outcomes.py
@@ -89,6 +89,7 @@
 def settle(node, task_start, outcome, now):
     """Apply an outcome, received or inferred, to its job."""
     job = task_start.job
+    task_start.endpoint.urgent -= task_start.urgent
     del job.open[task_start.task]
     limits.ended(node.limits, job.spec.customer, now)
     node.dirty = True
--- a/azurepier/entry/_sending.py
+++ b/azurepier/entry/_sending.py
@@ -18,6 +18,7 @@
     seq = view.next_seq
     view.next_seq += 1
     view.sent += not urgent
+    view.urgent += urgent
     view.free -= 1
     view.long_free -= long_running
     task_spec = spec.tasks[task]
--- a/azurepier/entry/_state.py
+++ b/azurepier/entry/_state.py
@@ -85,6 +85,7 @@
     leaving: bool = False
     next_seq: int = 1
     open: dict[int, OpenStart] = attrs.field(factory=dict)
+    urgent: int = 0  # of the open starts
     granted: int = 0
     sent: int = 0
     free: int = 0
@@ -186,6 +187,10 @@
     histories: dict[str, History] = attrs.field(factory=dict)
     queued: dict[str, int] = attrs.field(factory=dict)
     waiting_tasks: int = 0
+    accepted: dict = attrs.field(factory=dict)
+    overload: queueing.admission.Overload = attrs.field(
+        factory=queueing.admission.Overload
+    )
     urgent_use: dict = attrs.field(factory=dict)
     urgent_load: queueing.admission.Throughput = attrs.field(
         factory=lambda: queueing.admission.Throughput(since=0.0)
--- a/azurepier/queueing/_discipline.py
+++ b/azurepier/queueing/_discipline.py
@@ -27,6 +27,7 @@
     urgent: bool
     weight: float
     queued_at: float
+    deadline_at: float
     tasks: list  # task numbers, the next one last
     work: list  # expected work by task number (s at speed 1)
     work_s: float = 0.0
--- a/azurepier/queueing/_fair.py
+++ b/azurepier/queueing/_fair.py
@@ -18,6 +18,11 @@
 # A job's place is its arrival plus this many times its expected work: small
 # jobs pass large ones, but not for ever.
 AGEING = 2.0
+# From this long before its deadline on, a large job is placed like a small
+# one that has just arrived.
+DEADLINE_LEAD_S = 3.0
+# Weight of what a customer was served against the place of its first job.
+SERVED_WEIGHT = 10.0
 # Jobs of a customer that are tried before its turn passes on.
 BLOCKED_JOBS_MAX = 4
 
@@ -53,7 +58,7 @@
         return
     cls.counter += 1
     customer.version = cls.counter
-    score = customer.jobs[0].key + customer.served
+    score = customer.jobs[0].key + SERVED_WEIGHT * customer.served
     heapq.heappush(cls.heap, (score, cls.counter, customer))
 
 
@@ -69,7 +74,8 @@
         # An idle customer doesn't save up a claim.
         customer.served = max(customer.served, cls.floor)
     customer.weight = waiting.weight
-    waiting.key = waiting.queued_at + AGEING * waiting.work_s
+    by_size = waiting.queued_at + AGEING * waiting.work_s
+    waiting.key = min(by_size, waiting.deadline_at - DEADLINE_LEAD_S)
     waiting.queued = True
     customer.jobs.add(waiting)
     customer.work_s += waiting.work_s
