Agree on a leader from the first heartbeat on

Entries now compete by rank (draining, starting, ready). Invalid configurations from peers are recorded, and after a difference that doesn't apply the whole configuration is asked for, which could otherwise repeat for ever between two edits of one version.

--- a/azurepier/endpoint/_node.py
+++ b/azurepier/endpoint/_node.py
@@ -407,6 +407,7 @@
         seen=link.highest,
         acked=[],
         active=False,
+        rank=0,
     )
 
 
--- a/azurepier/entry/_endpoints.py
+++ b/azurepier/entry/_endpoints.py
@@ -175,7 +175,7 @@
     return []
 
 
-def heartbeat_effects(node, view, config_version, active):
+def heartbeat_effects(node, view, config_version, rank):
     """Return the heartbeat, and the member list if it has changed."""
     out = []
     heartbeat = messages.Heartbeat(
@@ -187,7 +187,8 @@
         long_free=0,
         seen=0,
         acked=view.acked,
-        active=active,
+        active=node.leads,
+        rank=rank,
     )
     view.acked = []
     out.append(effects.Send(view.conn, heartbeat))
--- a/azurepier/entry/_leader.py
+++ b/azurepier/entry/_leader.py
@@ -7,24 +7,40 @@
 leaders share the endpoints' credits.
 """
 
+import enum
+
 from azurepier import membership
 
 # Entries that have just started may start no tasks yet, see
 # `azurepier.limits`.
-ELIGIBLE_AFTER_S = 7.0
+READY_AFTER_S = 7.0
 _KEY = 'leader'
 
 
-def is_eligible(node, now):
-    """Tell whether this entry could lead."""
-    return not node.draining and now - node.started_at >= ELIGIBLE_AFTER_S
+class Rank(enum.IntEnum):
+    """How fit an entry is to lead; the fittest compete."""
+
+    DRAINING = 0
+    STARTING = 1
+    READY = 2
+
+
+def rank(node, now):
+    """Return this entry's `Rank`."""
+    if node.draining:
+        return Rank.DRAINING
+    if now - node.started_at < READY_AFTER_S:
+        return Rank.STARTING
+    return Rank.READY
 
 
 def find(node, now):
     """Return the `Peer` that leads, or None if this entry does."""
-    peers = {peer.name: peer for peer in node.peers.values() if peer.eligible}
-    names = set(peers)
-    if is_eligible(node, now) or (not names and not node.draining):
-        names.add(node.options.name)
-    chosen = membership.first(_KEY, names)
-    return peers.get(chosen)
+    ranks = {node.options.name: rank(node, now)}
+    peers = {}
+    for peer in node.peers.values():
+        peers[peer.name] = peer
+        ranks[peer.name] = peer.rank
+    best = max(ranks.values())
+    names = [name for name, value in ranks.items() if value == best]
+    return peers.get(membership.first(_KEY, names))
--- a/azurepier/entry/_node.py
+++ b/azurepier/entry/_node.py
@@ -124,7 +124,7 @@
 
 def _on_peer_heartbeat(node, peer, msg, now):
     peer.config_version = msg.config_version
-    peer.eligible = msg.active
+    peer.rank = msg.rank
     return exchange.on_version(
         node.exchange, node.adoption, peer.conn, msg.config_version, now
     )
@@ -260,12 +260,12 @@
 def _heartbeats(node, now):
     version = exchange.version_in_force(node.adoption)
     node.leads = _leader.find(node, now) is None
-    eligible = _leader.is_eligible(node, now)
+    rank = _leader.rank(node, now)
     out = []
     for view in node.by_conn.values():
-        out += _endpoints.heartbeat_effects(node, view, version, node.leads)
+        out += _endpoints.heartbeat_effects(node, view, version, rank)
     for peer in node.peers.values():
-        out += _endpoints.heartbeat_effects(node, peer, version, eligible)
+        out += _endpoints.heartbeat_effects(node, peer, version, rank)
     return out
 
 
--- a/azurepier/entry/_state.py
+++ b/azurepier/entry/_state.py
@@ -126,7 +126,7 @@
     last_heard: float
     members_version: int = 0
     config_version: int = 0
-    eligible: bool = False
+    rank: int = 0
     acked: list = attrs.field(factory=list)
 
 
--- a/azurepier/exchange/_exchange.py
+++ b/azurepier/exchange/_exchange.py
@@ -8,7 +8,6 @@
 import attrs
 
 from azurepier import config
-from azurepier import kernel
 from azurepier.kernel import effects
 from azurepier.kernel import messages
 
@@ -25,6 +24,7 @@
 
     recent: dict = attrs.field(factory=dict)
     asked_at: float | None = None
+    whole: bool = False
 
 
 def version_in_force(adoption):
@@ -51,6 +51,7 @@
     if asked is not None and now - asked < ASK_AGAIN_AFTER_S:
         return []
     exchange.asked_at = now
+    have = 0 if exchange.whole else have
     return [effects.Send(conn, messages.ConfigRequest(have=have))]
 
 
@@ -82,17 +83,10 @@
         invalid body is ignored; the next heartbeat leads to a new request.
     """
     exchange.asked_at = None
-    have = version_in_force(adoption)
-    if msg.version <= have or (msg.base and msg.base != have):
-        return False
-    try:
-        if msg.base:
-            cfg = config.apply_delta(adoption.current, msg.body)
-        else:
-            cfg = config.from_json(msg.body)
-    except kernel.InvalidInputError:
-        return False
-    if not config.adopt(adoption, cfg):
-        return False
-    remember(exchange, adoption)
-    return True
+    if config.adopt_body(adoption, msg.body, msg.base):
+        remember(exchange, adoption)
+        return True
+    # The next request asks for the whole configuration, in case the
+    # difference was made from another edit of the same version.
+    exchange.whole = msg.base > 0
+    return False
--- a/azurepier/wire/gen/messages/ttypes.py
+++ b/azurepier/wire/gen/messages/ttypes.py
@@ -344,6 +344,7 @@
      - seen
      - acked
      - active
+     - rank
 
     """
 
@@ -357,10 +358,11 @@
         'seen',
         'acked',
         'active',
+        'rank',
     )
 
 
-    def __init__(self, config_version=None, members_version=None, queued=None, granted=None, free=None, long_free=None, seen=None, acked=None, active=None,):
+    def __init__(self, config_version=None, members_version=None, queued=None, granted=None, free=None, long_free=None, seen=None, acked=None, active=None, rank=None,):
         self.config_version = config_version
         self.members_version = members_version
         self.queued = queued
@@ -370,6 +372,7 @@
         self.seen = seen
         self.acked = acked
         self.active = active
+        self.rank = rank
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -430,6 +433,11 @@
                     self.active = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -479,6 +487,10 @@
             oprot.writeFieldBegin('active', TType.BOOL, 9)
             oprot.writeBool(self.active)
             oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 10)
+            oprot.writeI32(self.rank)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2805,6 +2817,7 @@
     (7, TType.I64, 'seen', None, None, ),  # 7
     (8, TType.LIST, 'acked', (TType.I64, None, False), None, ),  # 8
     (9, TType.BOOL, 'active', None, None, ),  # 9
+    (10, TType.I32, 'rank', None, None, ),  # 10
 )
 all_structs.append(EntryInfo)
 EntryInfo.thrift_spec = (
--- a/thrift/azurepier.thrift
+++ b/thrift/azurepier.thrift
@@ -37,8 +37,8 @@
   6: i32 long_free
   7: i64 seen
   8: list<i64> acked        // outcomes received (entries)
-  9: bool active            // to endpoints: this entry dispatches new jobs;
-                            // to entries: this entry could do so
+  9: bool active            // to endpoints: this entry dispatches new jobs
+  10: i32 rank              // to entries: see azurepier.entry._leader
 }
 
 struct EntryInfo {
