--- /dev/null
+++ b/azurepier/placement/tests/test_contract.py
@@ -0,0 +1,139 @@
+"""Contract of the placement policies, and what the default adds."""
+
+import random
+
+import attrs
+import pytest
+
+from azurepier import kernel
+from azurepier.kernel import registry
+from azurepier import placement
+
+
+@attrs.define(eq=False)
+class _View:
+    name: str
+    speed: float
+    credit_share: float = 0.5
+    open: dict = attrs.field(factory=dict)
+
+    @property
+    def incarnation(self):
+        return self.name
+
+
+@attrs.define
+class _Open:
+    sent_at: float
+    work_s: float
+
+
+def _views(*speeds):
+    return [_View(f'e{n}', speed) for n, speed in enumerate(speeds)]
+
+
+@pytest.fixture(params=registry.names('placement'))
+def choose(request):
+    return registry.get('placement', request.param)(random.Random(1))
+
+
+class TestContract:
+    def test_choice_is_one_of_the_ready_or_hold(self, choose):
+        # Guards against a start on an endpoint without a free slot.
+        views = _views(4.0, 2.0, 1.0)
+        plan = placement.Plan(views, 0.0)
+        for _ in range(50):
+            chosen = choose(views[1:], placement.Need(0.1, plan))
+            assert chosen in views[1:]
+
+    def test_single_endpoint_is_always_chosen(self, choose):
+        # Guards against work that is held though nothing is faster.
+        views = _views(0.5)
+        need = placement.Need(10.0, placement.Plan(views, 0.0))
+        assert choose(views, need) is views[0]
+
+
+class TestExpectedCompletion:
+    def _choose(self, ready, views, work_s, now=0.0):
+        policy = registry.get('placement', 'expected_completion')
+        need = placement.Need(work_s, placement.Plan(views, now))
+        return policy(random.Random(1))(ready, need)
+
+    def test_waits_for_a_faster_endpoint_that_is_nearly_free(self):
+        # Guards against slow endpoints that delay a job's last task.
+        fast, slow = views = _views(4.0, 1.0)
+        fast.open[1] = _Open(sent_at=-0.4, work_s=2.0)
+        assert self._choose([slow], views, 2.0) is placement.HOLD
+        assert self._choose([slow], views, 0.1) is slow
+
+    def test_held_tasks_reserve_different_slots(self):
+        # Guards against holding many tasks for the same slot.
+        fast, slow = views = _views(4.0, 1.0)
+        fast.open[1] = _Open(sent_at=-0.4, work_s=2.0)
+        plan = placement.Plan(views, 0.0)
+        policy = registry.get('placement', 'expected_completion')
+        choose = policy(random.Random(1))
+        chosen = [choose([slow], placement.Need(1.0, plan)) for _ in range(4)]
+        assert chosen[0] is placement.HOLD
+        assert chosen[-1] is slow
+
+    def test_overdue_task_is_not_expected_to_end_now(self):
+        # Guards against waiting behind a task of unknown length.
+        fast, slow = views = _views(4.0, 1.0)
+        fast.open[1] = _Open(sent_at=-30.0, work_s=0.5)
+        assert self._choose([slow], views, 2.0) is slow
+
+
+class TestEstimates:
+    def test_speeds_are_learned_and_do_not_drift(self):
+        # Guards against estimates that grow without bound.
+        rng = random.Random(3)
+        estimates = placement.estimates.Estimates()
+        speeds = {1.0: placement.estimates.Mean()}
+        speeds[4.0] = placement.estimates.Mean()
+        task = kernel.TaskSpec('k', b'{}')
+        for _ in range(20_000):
+            true = rng.choice(list(speeds))
+            run_s = rng.lognormvariate(-1, 0.5) / true
+            placement.estimates.learn(
+                estimates, speeds[true], 'c', task, run_s
+            )
+        found = [placement.estimates.speed_of(s) for s in speeds.values()]
+        assert found[1] / found[0] == pytest.approx(4.0, rel=0.2)
+        assert 0.2 < found[0] < 2.0
+
+    def test_declared_times_far_off_are_learned(self):
+        # Guards against believing declared times, and against ignoring the
+        # few that mark a long task.
+        rng = random.Random(4)
+        estimates = placement.estimates.Estimates()
+        speed = placement.estimates.Mean()
+        for _ in range(5000):
+            run_s = 10.0 if rng.random() < 0.02 else 0.2
+            error = 10 ** rng.uniform(-1, 1)
+            task = kernel.TaskSpec('k', b'{}', run_s * error * 1000)
+            placement.estimates.learn(estimates, speed, 'c', task, run_s)
+        expect = placement.estimates.work_of
+        low = expect(estimates, 'c', kernel.TaskSpec('k', b'{}', 100.0))
+        high = expect(estimates, 'c', kernel.TaskSpec('k', b'{}', 60_000.0))
+        assert low < 0.5
+        assert high > 3.0
+
+
+class TestBreaker:
+    def test_probe_decides(self):
+        # Guards against a breaker that reopens for all work at once.
+        breaker = placement.breaker.Breaker()
+        kinds = placement.breaker.KindFailures()
+        for _ in range(placement.breaker.OPEN_AFTER):
+            opened = placement.breaker.failed(breaker, kinds, 'k', 0.0)
+        assert opened
+        assert not placement.breaker.allows(breaker, 0.5)
+        assert placement.breaker.allows(breaker, 1.5)
+        placement.breaker.started(breaker)
+        assert not placement.breaker.allows(breaker, 1.5)
+        assert placement.breaker.failed(breaker, kinds, 'k', 1.6)
+        assert not placement.breaker.allows(breaker, 3.0)
+        placement.breaker.started(breaker)
+        placement.breaker.succeeded(breaker, kinds, 'k')
+        assert placement.breaker.allows(breaker, 3.0)
