--- a/benchmarks/_crest.py
+++ b/benchmarks/_crest.py
@@ -1,7 +1,5 @@
 """Figures of the crest: useful work, refusals, recovery and fairness."""
 
-import collections
-
 from benchmarks import _measures
 from benchmarks import _simulate
 
@@ -48,11 +46,7 @@
         'late_before': _late_share(run, *bounds[REFERENCE : CREST + 1]),
         'late_after': _late_share(run, *bounds[AFTER : AFTER + 2]),
         'customers': customers,
-        'outcomes': dict(
-            collections.Counter(
-                run.answers[job.number].outcome for job in jobs
-            ).most_common()
-        ),
+        'outcomes': _measures.outcomes_of(run, jobs),
     }
 
 
--- a/benchmarks/_measures.py
+++ b/benchmarks/_measures.py
@@ -1,5 +1,6 @@
 """Figures that are derived from observed runs."""
 
+import collections
 import math
 
 from benchmarks import _ideal
@@ -37,6 +38,14 @@
     return response_of(run, job) / alone_s
 
 
+def outcomes_of(run, jobs):
+    """Return how many jobs got each kind of answer, most frequent first."""
+    found = collections.Counter(
+        run.answers[job.number].outcome for job in jobs
+    )
+    return dict(found.most_common())
+
+
 def response_over_ideal(run, low, high):
     """Compare the response times of jobs with the ideal.
 
@@ -50,7 +59,8 @@
     -------
     dict
         `p50` and `p99` of the ratio per job, the ratios of the quantiles,
-        and `lost`: jobs without a result. The ideal has no delay at all;
+        `lost`: jobs without a result, whose ratio is infinite, and the
+        `outcomes` of all. The ideal has no delay at all;
         `p50_net` and `p99_net` leave out the client's round trip, which no
         dispatcher can avoid. `p99_by_class` has the urgent jobs, those with
         long tasks and the others.
@@ -73,6 +83,7 @@
         'p99_by_class': _by_class(jobs, ratios, 0.99),
         'jobs': len(jobs),
         'lost': sum(value == INFINITE for value in got),
+        'outcomes': outcomes_of(run, jobs),
     }
 
 
--- a/benchmarks/bench_response.py
+++ b/benchmarks/bench_response.py
@@ -65,7 +65,7 @@
         '  response/ideal p50 {p50:.3f} p99 {p99:.2f}'
         ' (without client trip {p50_net:.3f}, {p99_net:.2f});'
         ' of quantiles p50 {ratio_of_p50:.3f} p99 {ratio_of_p99:.2f};'
-        ' {jobs} jobs, {lost} lost'.format(**found)
+        ' {jobs} jobs, answers {outcomes}'.format(**found)
     )
     classes = found['p99_by_class'].items()
     shown = ', '.join(f'{name} {value:.2f}' for name, value in classes)
--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -7,8 +7,9 @@
 The result also goes to `build/bench.json`: for each deployment, and once for
 what is measured with real processes, an object for each measure with its
 value, target, unit, seed and the values of the baselines. With several seeds
-a value is the median over them, and `by_seed` has each. A value that doesn't
-exist, such as the time of a recovery that was not seen, is null.
+a value is the median over them, and `by_seed` has each. A value that isn't
+finite is null: the time of a recovery that was not seen, or a percentile that
+falls on a job without a result.
 """
 
 import json
