Announce the start only once signals are handled

The line now follows the handlers, and SIGHUP is ignored until there is one.

Metrics show the calls to the platform, whose number is limited.

--- a/azurepier/daemon/_endpoint.py
+++ b/azurepier/daemon/_endpoint.py
@@ -68,8 +68,9 @@
         web_sock = stack.enter_context(_process.bind(settings, 'listen_web'))
         node = endpoint.create(_options(settings, web_sock), rng, loop.time())
         metrics = _metrics.create(with_runs=True)
-        shell, keys = _process.make_shell(endpoint, node, settings, metrics)
-        reader = _process.make_reader(settings, shell, rng)
+        shell, keys, reader = _process.make_shell(
+            endpoint, node, settings, rng, metrics
+        )
         if reader is not None:
             stack.push_async_callback(_platform.leave, reader, [])
         client = _worker.connect(settings.worker_url)
@@ -85,11 +86,9 @@
         app = web.create_operators_app(shell, metrics.registry)
         server = await _web.serve(app, web_sock)
         stack.push_async_callback(server.close)
-        process = _process.Process(
+        return _process.Process(
             shell,
             keys,
             stack.pop_all(),
             {'listen_web': wire.bound_address(web_sock)},
         )
-    _process.announce_start(process)
-    return process
--- a/azurepier/daemon/_entry.py
+++ b/azurepier/daemon/_entry.py
@@ -61,9 +61,10 @@
         options = _options(settings, sock, web_sock)
         node = entry.create(options, rng, loop.time())
         metrics = _metrics.create()
-        shell, keys = _process.make_shell(entry, node, settings, metrics)
+        shell, keys, reader = _process.make_shell(
+            entry, node, settings, rng, metrics
+        )
         stack.push_async_callback(shell.close)
-        reader = _process.make_reader(settings, shell, rng)
         if reader is not None:
             tasks = _platform.serve_entry(reader, lambda: _info_of(node))
             stack.push_async_callback(_platform.leave, reader, tasks)
@@ -72,7 +73,7 @@
         stack.push_async_callback(server.close)
         listener = await wire.listen(sock, shell.hooks)
         stack.callback(listener.close)
-        process = _process.Process(
+        return _process.Process(
             shell,
             keys,
             stack.pop_all(),
@@ -83,5 +84,3 @@
                 'web_address': options.web_address,
             },
         )
-    _process.announce_start(process)
-    return process
--- a/azurepier/daemon/_main.py
+++ b/azurepier/daemon/_main.py
@@ -39,7 +39,9 @@
 
 async def _serve(start, settings):
     process = await start(settings, random.Random(os.urandom(16)))
+    # Whoever waits for the start line may send a signal at once.
     _handle_signals(process)
+    _process.announce_start(process)
     # A full collection that visits the imported modules takes 30 ms.
     gc.collect()
     gc.freeze()
@@ -54,6 +56,8 @@
     except AzurepierError as exc:
         click.echo(str(exc), err=True)
         sys.exit(EXIT_SETTINGS)
+    # Until there is a handler the signal would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         asyncio.run(_serve(start, settings))
     except AzurepierError as exc:
--- a/azurepier/daemon/_metrics.py
+++ b/azurepier/daemon/_metrics.py
@@ -30,6 +30,7 @@
     """
 
     shell: object
+    budget: object = None
 
     def collect(self):
         """Yield metric families."""
@@ -64,6 +65,8 @@
             len(self.shell.conns),
         )
         yield from _node_families(self.shell.status())
+        if self.budget is not None:
+            yield from _platform_families(self.budget)
 
 
 def _node_families(status):
@@ -83,6 +86,21 @@
     )
 
 
+def _platform_families(budget):
+    """Yield the calls to the platform, which limits their number."""
+    for name, values in (
+        ('calls', budget.calls),
+        ('failed_calls', budget.failures),
+    ):
+        yield _family(
+            core.CounterMetricFamily,
+            f'azurepier_platform_{name}',
+            f'{name} of the platform, by kind.'.replace('_', ' '),
+            'call',
+            values,
+        )
+
+
 @attrs.frozen
 class Metrics:
     """Metrics that are observed one by one."""
@@ -125,7 +143,7 @@
     return Metrics(registry, delays, runs)
 
 
-def add_shell(metrics, shell):
-    """Show the counts of a shell and its node."""
-    metrics.registry.register(_Collector(shell))
+def add_shell(metrics, shell, budget=None):
+    """Show the counts of a shell, its node and its calls to the platform."""
+    metrics.registry.register(_Collector(shell, budget))
     shell.delays = metrics.delays.observe
--- a/azurepier/daemon/_process.py
+++ b/azurepier/daemon/_process.py
@@ -62,25 +62,24 @@
         ) from exc
 
 
-def make_shell(module, node, settings, metrics):
-    """Return a shell for a node and the keys it uses."""
+def make_shell(module, node, settings, rng, metrics):
+    """Return a shell for a node, the keys it uses and the platform's reader.
+
+    The reader is None if the settings name no platform.
+    """
     keys = _keys.Keys(settings.key_files)
     keys.reload()
     ring = timeline.Ring(RING_EVENTS, settings.name, node.incarnation)
     shell = _shell.Shell(module, node, ring, keys=lambda: keys.current)
-    _metrics.add_shell(metrics, shell)
-    return shell, keys
-
-
-def make_reader(settings, shell, rng):
-    """Return a reader of the platform, None if the settings name none."""
     if settings.platform is None:
-        return None
+        _metrics.add_shell(metrics, shell)
+        return shell, keys, None
     # The client's own generator: the node's must not depend on timing.
     client = platform.Client(
         settings.platform, random.Random(rng.getrandbits(64))
     )
-    return _platform.Reader(client, shell.feed, rng)
+    _metrics.add_shell(metrics, shell, client.budget)
+    return shell, keys, _platform.Reader(client, shell.feed, client.rng)
 
 
 def announce_start(process):
--- a/azurepier/daemon/_tasks.py
+++ b/azurepier/daemon/_tasks.py
@@ -176,7 +176,8 @@
         async with asyncio.timeout(CONTROL_LIMIT_S):
             return await call
     except (TimeoutError, _http.AnswerError, _http.NotSentError) as exc:
-        _log.warning('worker_call_failed', call=name, reason=str(exc))
+        reason = str(exc) or 'no answer in time'
+        _log.warning('worker_call_failed', call=name, reason=reason)
         return False
 
 
