Tell long answers and faulty connections from lost ones

An answer with status 200 that exceeds the limit shows that the task ran, so it counts as failed and not as lost. A connection that ends because a message can't be encoded, is malformed or is not read is logged as a warning; in a trial with a task of 5 MB it looked like a peer that had left.

--- a/azurepier/daemon/_http.py
+++ b/azurepier/daemon/_http.py
@@ -31,6 +31,20 @@
     """
 
 
+class AnswerTooLongError(AnswerError):
+    """The answer is longer than the limit.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status of the answer, 0 if its head is too long.
+    """
+
+    def __init__(self, status, limit):
+        super().__init__(f'the answer is longer than {limit} bytes')
+        self.status = status
+
+
 class _Connection(asyncio.Protocol):
     """A connection that carries one request at a time.
 
@@ -55,7 +69,7 @@
     def ask(self, request):
         """Send a request; return the future of status and body."""
         self.reusable = False
-        self.received = 0
+        self.received = self.status = 0
         self.body.clear()
         self.parser = httptools.HttpResponseParser(self)
         self.answer = asyncio.get_running_loop().create_future()
@@ -65,16 +79,20 @@
     def data_received(self, data):
         """Parse a part of the answer."""
         if self.answer is None or self.answer.done():
-            self._fail('bytes that nobody asked for')
+            self._fail(AnswerError('bytes that nobody asked for'))
             return
         self.received += len(data)
-        if self.received > self.limit:
-            self._fail(f'the answer is longer than {self.limit} bytes')
-            return
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as exc:
-            self._fail(f'the answer is malformed: {exc}')
+            self._fail(AnswerError(f'the answer is malformed: {exc}'))
+            return
+        if self.received > self.limit:
+            self._fail(AnswerTooLongError(self.status, self.limit))
+
+    def on_headers_complete(self):
+        """Keep the status of the answer."""
+        self.status = self.parser.get_status_code()
 
     def on_body(self, data):
         """Keep a part of the body."""
@@ -82,22 +100,21 @@
 
     def on_message_complete(self):
         """Hand over the answer, unless it is an interim one."""
-        status = self.parser.get_status_code()
-        if status < 200:
+        if self.status < 200:
             return
         self.reusable = self.parser.should_keep_alive()
         if not self.answer.done():
-            self.answer.set_result((status, b''.join(self.body)))
+            self.answer.set_result((self.status, b''.join(self.body)))
 
-    def _fail(self, reason):
+    def _fail(self, error):
         self.reusable = False
         if self.answer is not None and not self.answer.done():
-            self.answer.set_exception(AnswerError(reason))
+            self.answer.set_exception(error)
         self.transport.abort()
 
     def connection_lost(self, exc):
         """Fail the request that is not answered yet."""
-        self._fail(str(exc or 'the connection was closed'))
+        self._fail(AnswerError(str(exc or 'the connection was closed')))
 
 
 @attrs.define(eq=False)
--- a/azurepier/daemon/_shell.py
+++ b/azurepier/daemon/_shell.py
@@ -184,7 +184,10 @@
     def _on_lost(self, conn, reason):
         if self.conns.pop(conn.number, None) is None or self.closing:
             return
-        _log.info('connection_lost', address=conn.peer, reason=reason)
+        if conn.failed:
+            _log.warning('connection_failed', address=conn.peer, reason=reason)
+        else:
+            _log.info('connection_lost', address=conn.peer, reason=reason)
         self.feed(events.ConnectionLost(conn.number))
 
     def _on_failed(self, peer, reason):
--- a/azurepier/daemon/_worker.py
+++ b/azurepier/daemon/_worker.py
@@ -80,9 +80,14 @@
         start.payload or b'null',
         lease_ms,
     )
-    code, answer = await client.pool.call(
-        'PUT', _task_path(client, start), body
-    )
+    try:
+        code, answer = await client.pool.call(
+            'PUT', _task_path(client, start), body
+        )
+    except _http.AnswerTooLongError as exc:
+        if exc.status == 200:
+            return Status.FAILED, str(exc).encode()
+        raise
     status = _STATUS_OF_ANSWER.get(code, Status.LOST)
     if status is Status.DONE:
         return _done(_parse(answer).get('output'))
--- a/azurepier/wire/_connection.py
+++ b/azurepier/wire/_connection.py
@@ -81,11 +81,15 @@
         Free for the owner, who identifies connections by numbers.
     peer : str
         Address of the other side, for logs.
+    failed : bool
+        Whether the connection ended because of a message that is malformed,
+        can't be encoded or was not read by the peer.
     """
 
     def __init__(self, side, hooks, on_end=None):
         self.number = None
         self.peer = ''
+        self.failed = False
         self._side = side
         self._hooks = hooks
         self._on_end = on_end
@@ -124,7 +128,7 @@
         try:
             frame = _codec.encode(msg)
         except WireError as exc:
-            self.abort(str(exc))
+            self._fail(str(exc))
             return
         sent = self._hooks.traffic.sent
         sent[type(msg)] = sent.get(type(msg), 0) + 1
@@ -150,7 +154,7 @@
     def _check_unsent(self):
         unsent = self._transport.get_write_buffer_size() + self._outbox_bytes
         if unsent > MAX_UNSENT_BYTES:
-            self.abort(f'{unsent} bytes are unsent')
+            self._fail(f'{unsent} bytes are unsent')
 
     # Receiving -----------------------------------------------------------
 
@@ -175,7 +179,7 @@
                 else:
                     return
         except WireError as exc:
-            self.abort(str(exc))
+            self._fail(str(exc))
 
     def _on_payload(self, payload):
         msg = _codec.decode_payload(payload)
@@ -234,6 +238,10 @@
         self._outbox.clear()
         self._transport.abort()
 
+    def _fail(self, reason):
+        self.failed = True
+        self.abort(reason)
+
     def eof_received(self):
         """Close the connection when the peer has closed its side."""
         return False
--- a/azurepier/wire/tests/test_connection.py
+++ b/azurepier/wire/tests/test_connection.py
@@ -210,6 +210,7 @@
         async with connected(a, b) as (conn, _):
             conn._transport.write(b'\xff' * 8)
             await until(lambda: a.lost and b.lost)
+            assert b.ups[0][0].failed and not conn.failed
         assert 'frame of' in b.lost[0]
 
     @in_loop
