--- a/azurepier/limits/_ledger.py
+++ b/azurepier/limits/_ledger.py
@@ -169,18 +169,16 @@
 
 
 def take(state, acct, name, msg, now):
-    """Take a member's report into the record."""
+    """Take a member's report into the record.
+
+    Notes
+    -----
+    A member never applies grants older than the newest one it has seen. So
+    what it may have in force is the lease it reports and what was sent after
+    the message that the report names.
+    """
     ledger = acct.ledger
     member = ledger.members[name]
-    first = member.received_at == _state.NEVER
-    _record(member, msg, now)
-    if first:
-        _take_over(member, msg, now)
-    heard(ledger, {name}, now)
-    count_again(state, acct, member, now)
-
-
-def _record(member, msg, now):
     member.sent_at = msg.sent_at
     member.received_at = now
     member.want_rate = msg.rate
@@ -190,23 +188,24 @@
     member.kept_concurrent = msg.kept_concurrent
     member.kept_until = msg.echo + _state.HOLD_S
     ended = msg.sent_at - _state.LEASE_S
-    seen = any(lease.sent_at == msg.echo for lease in member.leases)
-    member.leases = [
+    member.leases = _lease_in_force(msg, now) + [
         lease
         for lease in member.leases
-        if lease.echo > ended and (not seen or lease.sent_at >= msg.echo)
+        if lease.sent_at > msg.echo and lease.echo > ended
     ]
+    heard(ledger, {name}, now)
+    count_again(state, acct, member, now)
 
 
-def _take_over(member, msg, now):
-    """Count the lease that an earlier home gave to a member."""
+def _lease_in_force(msg, now):
+    if not msg.leased_ms:
+        return []
     left = msg.leased_ms / 1000
-    if left > 0:
-        lease = _state.Lease(
-            sent_at=0.0,
-            echo=msg.sent_at + left - _state.LEASE_S,
-            rate=msg.leased_rate,
-            concurrent=msg.leased_concurrent,
-            until=now + left * (1 + _state.CLOCK_DRIFT),
-        )
-        member.leases.append(lease)
+    lease = _state.Lease(
+        sent_at=msg.echo,
+        echo=msg.sent_at + left - _state.LEASE_S,
+        rate=msg.leased_rate,
+        concurrent=msg.leased_concurrent,
+        until=now + left * (1 + _state.CLOCK_DRIFT),
+    )
+    return [lease]
--- a/azurepier/limits/_limits.py
+++ b/azurepier/limits/_limits.py
@@ -193,6 +193,8 @@
     if acct is None:
         return None
     if acct.running >= acct.concurrent or not acct.rate:
+        if len(state.members) < 2:
+            return None
         ends = (state.fresh_until, state.held_until, acct.kept_until)
         return min((end for end in ends if end > now), default=None)
     filled = acct.tokens + (now - acct.tokens_at) * acct.rate
--- a/azurepier/limits/_reports.py
+++ b/azurepier/limits/_reports.py
@@ -11,12 +11,12 @@
 # allows for one lost message before the lease ends.
 RENEW_S = 1.0
 # A report that was not answered is sent again after this time (s).
-RETRY_S = 0.5
+RETRY_S = 0.25
 # Shortest interval between reports of a growing demand before a tick (s).
 PRESS_S = 0.05
 # A lease that falls by less than this part is not worth a report.
 LOWERED = 0.01
-# A demand that grows or falls by this factor is reported immediately.
+# A demand that grows by this factor is reported immediately.
 CHANGE = 1.5
 # What is left of the largest demand after one tick without it.
 PEAK_DECAY = 0.7
@@ -25,7 +25,7 @@
 # Demand is reported with this much headroom.
 HEADROOM = 1.25
 # Waiting tasks are to be started within this time (s).
-DRAIN_S = 0.5
+DRAIN_S = 0.25
 # Average rates below this are no demand (starts/s).
 LEAST_RATE = 0.05
 
@@ -40,7 +40,8 @@
         Length of the tick (s).
     """
     load = acct.running + acct.waiting
-    acct.load = max(acct.peak, load, int(acct.load * PEAK_DECAY))
+    peak = max(acct.peak, load, int(acct.load * PEAK_DECAY))
+    acct.load = min(peak, acct.limit.concurrent)
     acct.peak = load
     rate = acct.starts / elapsed
     acct.starts = 0
@@ -80,11 +81,8 @@
     )
 
 
-def _fell(acct):
-    return (
-        acct.want_rate * CHANGE < acct.reported_rate
-        or acct.want_concurrent * CHANGE < acct.reported_concurrent
-    )
+def _ended(acct):
+    return acct.reported_concurrent > 0 and not acct.want_concurrent
 
 
 def is_due(acct, now):
@@ -92,11 +90,9 @@
     leased = acct.lease_until > now
     age = now - acct.sent_time
     if not leased and not _needs_lease(acct):
-        # What was wanted before is given back.
-        return _fell(acct) if acct.answered else age >= RETRY_S
-    if acct.due or _grew(acct) or (leased and _fell(acct)):
-        return True
-    if is_released(acct):
+        # The home is told that nothing is wanted any more.
+        return _ended(acct) if acct.answered else age >= RETRY_S
+    if acct.due or _grew(acct) or _ended(acct) or is_released(acct):
         return True
     return age >= (RENEW_S if acct.answered else RETRY_S)
 
@@ -149,6 +145,8 @@
     QuotaRequest
     """
     _account.advance(state, acct, now)
+    if not acct.want_concurrent and not acct.running:
+        acct.lease_until = _state.NEVER  # given back
     _cede(state, acct, now)
     left = max(acct.lease_until - now, 0.0)
     acct.sent_at = _state.next_stamp(state, now)
@@ -186,7 +184,7 @@
     """
     load = acct.running + max(acct.waiting, 1)
     acct.press_at = now + PRESS_S
-    acct.load = max(acct.load, load)
+    acct.load = min(max(acct.load, load), acct.limit.concurrent)
     estimate(acct)
     return _grew(acct)
 
@@ -219,7 +217,7 @@
     )
     acct.lease_rate = msg.rate
     acct.lease_concurrent = msg.concurrent
-    acct.lease_until = until
+    acct.lease_until = until if msg.concurrent or msg.rate else _state.NEVER
     _account.share(state, acct, now)
     acct.tokens = min(acct.cap, acct.tokens + msg.tokens)
     state.active.add(acct.customer)
