--- a/azurepier/limits/_home.py
+++ b/azurepier/limits/_home.py
@@ -193,16 +193,21 @@
         # What the member tells may be older than the leases of an earlier
         # home; only an answer to this home's poll is certain to be newer.
         return [(name, _poll(state, acct, member, now))]
+    waited = bool(ledger.unheard)
     before = _wants(member, now)
+    counted = member.count_rate, member.count_concurrent
     _ledger.take(state, acct, name, msg, now)
     wants = _wants(member, now)
     if wants[1]:
         ledger.busy_until = now + _state.LEASE_S
     if not _ledger.is_ready(acct, now):
         return []
-    if _is_silent_answer(member, msg, before, wants):
+    if _is_silent_answer(member, msg, before, wants) and not waited:
         return _after_polls(state, acct, name, now)
-    changed = _differ(before, wants)
+    freed = (
+        member.count_rate < counted[0] or member.count_concurrent < counted[1]
+    )
+    changed = waited or _differ(before, wants) or (freed and ledger.short)
     if changed:
         set_targets(state, acct, now)
     floor = _ledger.assumed_minimum(state, acct, now)
@@ -309,7 +314,8 @@
         silent = member.kept_until < now + POLL_AHEAD_S
         if name in ledger.unheard or (ledger.short and to_lend and silent):
             out.append((name, _poll(state, acct, member, now)))
-    ledger.polled = {name for name, _ in out}
+    if out:
+        ledger.polled = {name for name, _ in out}
     return out
 
 
--- a/azurepier/limits/_ledger.py
+++ b/azurepier/limits/_ledger.py
@@ -59,7 +59,7 @@
     recount(state, acct, now)
 
 
-def member_restarted(acct, name):
+def member_restarted(state, acct, name, now):
     """Forget what an earlier run of a member held."""
     old = acct.ledger.members.get(name)
     if old is not None:
@@ -68,6 +68,7 @@
             kept_concurrent=old.kept_concurrent,
             kept_until=old.kept_until,
         )
+        recount(state, acct, now)
 
 
 def plan_changed(state, acct, old_limit, now):
--- a/azurepier/limits/_limits.py
+++ b/azurepier/limits/_limits.py
@@ -341,7 +341,7 @@
         return True
     for acct in state.accounts.values():
         if acct.ledger is not None:
-            _ledger.member_restarted(acct, name)
+            _ledger.member_restarted(state, acct, name, now)
         if acct.home == name:
             _account.leave_home(state, acct, now)
     return True
