Bound what goes into one message and dispatch once per loop iteration

Cause: a task with a payload of 5 MB made a batch of starts that can't be encoded, and each reconnection queued it again. Payloads are limited to 256 KiB a task and 1 MiB a job, outputs to 1 MiB a job; starts, outcomes and reports are split into messages of about 1 MiB. Quota messages with infinite numbers close their connection.

A found failure of the random state machine: a job refused as 'not-ready' ran when it was submitted again under the same id, which made the first answer untrue. Every refusal of a new job now holds for its id.

Dispatch ran once for each outcome; it now runs from a timer that is due at once, after all events of one loop iteration.

--- a/azurepier/endpoint/_node.py
+++ b/azurepier/endpoint/_node.py
@@ -88,6 +88,8 @@
     _credits.share_with(node, link)
     out.append(effects.Send(event.conn, _resume_report(node, link, now)))
     link.highest = max(link.highest, 0)
+    for outcomes in kernel.batches(link.unacked.values(), _output_size):
+        out.append(_outcome_batch(node, link, outcomes, now))
     if node.draining:
         out.append(effects.Send(event.conn, messages.Leave(reason='drain')))
     out += exchange.on_version(
@@ -108,10 +110,10 @@
 
 
 def _resume_report(node, link, now):
+    running = [r.start.seq for r in node.running.values() if r.link is link]
     return messages.ResumeReport(
         highest=link.highest,
-        running=[r.start.seq for r in node.running.values() if r.link is link],
-        outcomes=list(link.unacked.values()),
+        known=[*running, *link.unacked],
         granted=link.granted,
         free=_credits.free_slots(node),
         long_free=_credits.long_free(node, now),
@@ -238,6 +240,10 @@
     )
 
 
+def _output_size(outcome):
+    return len(outcome.output)
+
+
 def _acknowledge(link, acked):
     for seq in acked:
         link.unacked.pop(seq, None)
@@ -263,11 +269,12 @@
 
 def _on_fence(node, link, msg, now):
     _retention.fence(node, msg.job_id, now)
-    report = _retention.report(node, msg.query, msg.job_id, msg.customer)
-    return [
-        effects.Send(link.conn, report),
-        effects.Record('fenced', msg.job_id, -1, node.options.name),
+    out = [
+        effects.Send(link.conn, report)
+        for report in _retention.reports(node, msg)
     ]
+    out.append(effects.Record('fenced', msg.job_id, -1, node.options.name))
+    return out
 
 
 def _on_heartbeat(node, link, msg, now):
--- a/azurepier/endpoint/_retention.py
+++ b/azurepier/endpoint/_retention.py
@@ -96,8 +96,8 @@
     node.fenced[job_id] = now + FENCE_S
 
 
-def report(node, query, job_id, customer):
-    """Return the `FenceReport` for a job."""
+def reports(node, query):
+    """Return the `FenceReport` messages that answer a `FenceJob`."""
     tasks = [
         messages.TaskReport(
             task=task,
@@ -106,7 +106,20 @@
             output=retained.output,
             check=retained.check,
         )
-        for task, retained in sorted(node.jobs.get(job_id, {}).items())
-        if retained.customer == customer
+        for task, retained in sorted(node.jobs.get(query.job_id, {}).items())
+        if retained.customer == query.customer
     ]
-    return messages.FenceReport(query=query, job_id=job_id, tasks=tasks)
+    parts = list(kernel.batches(tasks, _output_size)) or [[]]
+    return [
+        messages.FenceReport(
+            query=query.query,
+            job_id=query.job_id,
+            tasks=part,
+            more=part is not parts[-1],
+        )
+        for part in parts
+    ]
+
+
+def _output_size(report):
+    return len(report.output)
--- a/azurepier/entry/_callers.py
+++ b/azurepier/entry/_callers.py
@@ -100,6 +100,9 @@
         'answers-full',
         'impossible',
         'job-too-large',
+        'not-ready',
+        'unknown-customer',
+        'draining',
     )
 )
 
@@ -344,7 +347,8 @@
     queued = _outcomes.count_waiting(node, spec.customer, count)
     limits.demand(node.limits, spec.customer, queued, now)
     node.timers.set(('deadline', job_id), job.deadline_at)
-    node.timers.set(('late', job_id), _dispatch.late_at(job))
+    late_at = max(_dispatch.late_at(job), now + _dispatch.TRY_AT_LEAST_S)
+    node.timers.set(('late', job_id), late_at)
     node.count('jobs_accepted')
     node.dirty = True
     out = [effects.Record('submitted', job_id, detail=spec.customer)]
--- a/azurepier/entry/_dispatch.py
+++ b/azurepier/entry/_dispatch.py
@@ -29,6 +29,8 @@
 # expected run time no longer fits.
 LATE_SHARE = 0.3
 RETRY_LATE_S = 1.0
+# A job that seems too long from the start may still find free slots first.
+TRY_AT_LEAST_S = 0.05
 
 
 @attrs.define(eq=False)
--- a/azurepier/entry/_endpoints.py
+++ b/azurepier/entry/_endpoints.py
@@ -110,11 +110,9 @@
     view.free = msg.free
     view.long_free = msg.long_free
     node.dirty = True
-    for outcome in msg.outcomes:
-        out += _outcomes.on_outcome(node, view, outcome, now)
-    running = set(msg.running)
+    known = set(msg.known)
     for seq, task_start in list(view.open.items()):
-        if seq in running:
+        if seq in known:
             continue
         del view.open[seq]
         never_received = 0 <= msg.highest < seq
--- a/azurepier/entry/_node.py
+++ b/azurepier/entry/_node.py
@@ -18,6 +18,7 @@
 from azurepier import membership
 
 HEARTBEAT = 'heartbeat'
+DISPATCH = 'dispatch'
 QUOTA = 'quota_tick'
 SETTLED = 'settled'
 SECRET_BITS = 256
@@ -67,7 +68,10 @@
     """
     out = _EVENT_HANDLERS[type(event)](node, event, now)
     if node.dirty:
-        out += _dispatch.dispatch(node, now)
+        # One pass serves everything that arrives in one iteration of the
+        # shell's loop; a pass for each outcome costs twice as much.
+        node.dirty = False
+        node.timers.set(DISPATCH, now)
     if node.draining:
         out += _finish_drain(node)
     return out
@@ -298,6 +302,10 @@
     return [effects.Dial(address) for address in due]
 
 
+def _on_dispatch(node, _, now):
+    return _dispatch.dispatch(node, now)
+
+
 def _on_give_up(node, incarnation, now):
     view = node.endpoints.get(incarnation)
     if view is None or view.conn is not None:
@@ -385,6 +393,7 @@
 }
 
 _TIMER_HANDLERS = {
+    DISPATCH: _on_dispatch,
     HEARTBEAT: _on_heartbeat_timer,
     QUOTA: _on_quota_tick,
     SETTLED: _callers.on_settled,
--- a/azurepier/entry/_outcomes.py
+++ b/azurepier/entry/_outcomes.py
@@ -104,6 +104,11 @@
         return []
     job.exposed = True
     jobs.table.take_output(node.table, job, task_start.task, outcome.output)
+    if job.output_bytes > kernel.MAX_ANSWER_BYTES:
+        detail = f'the outputs exceed {kernel.MAX_ANSWER_BYTES} bytes'
+        return fail_job(
+            node, job, 'answer-too-large', Verdict.RAN, detail, now
+        )
     if job.left:
         return []
     answer = kernel.Complete(job.id, tuple(job.outputs))
--- a/azurepier/entry/_peers.py
+++ b/azurepier/entry/_peers.py
@@ -1,5 +1,7 @@
 """Other entries: forwarding, recovery of lost owners, quotas."""
 
+import math
+
 from azurepier.entry import _outcomes
 from azurepier.entry import _state
 from azurepier import jobs
@@ -314,7 +316,7 @@
     if recovery is None or recovery.answer is not None:
         return []
     jobs.recovery.take_report(recovery, msg)
-    if msg.query == recovery.query:
+    if msg.query == recovery.query and not msg.more:
         recovery.awaited.discard(view.conn)
     return _advance(node, recovery, now)
 
@@ -388,14 +390,27 @@
     ]
 
 
+def _is_finite(msg):
+    """Tell whether all numbers of a quota message can be calculated with."""
+    return all(
+        math.isfinite(value)
+        for value in (getattr(msg, name) for name in msg.__slots__)
+        if isinstance(value, float)
+    )
+
+
 def on_quota_request(node, peer, msg, now):
     """Lend parts of a customer's limits to another entry."""
+    if not _is_finite(msg):
+        return [effects.Close(peer.conn)]
     sent = limits.on_request(node.limits, peer.name, msg, now)
     return _to_names(node, sent)
 
 
 def on_quota_grant(node, peer, msg, now):
     """Take over parts of a customer's limits."""
+    if not _is_finite(msg):
+        return [effects.Close(peer.conn)]
     node.dirty = True
     sent = limits.on_grant(node.limits, peer.name, msg, now)
     return _to_names(node, sent)
--- a/azurepier/entry/_sending.py
+++ b/azurepier/entry/_sending.py
@@ -4,6 +4,7 @@
 
 from azurepier.entry import _outcomes
 from azurepier.entry import _state
+from azurepier import kernel
 from azurepier.kernel import effects
 from azurepier.kernel import messages
 from azurepier import limits
@@ -63,7 +64,7 @@
     out = []
     for view in node.by_conn.values():
         if view.outbox:
-            out.append(effects.Send(view.conn, _start_batch(view)))
+            out += _start_batches(view)
             view.outbox = []
             view.acked = []
         elif view.ready and view.want and not view.wanted:
@@ -79,8 +80,18 @@
     return out
 
 
-def _start_batch(view):
+def _start_batches(view):
     want = NO_CHANGE
     if view.want != view.wanted:
         want = view.wanted = view.want
-    return messages.StartBatch(starts=view.outbox, want=want, acked=view.acked)
+    out = []
+    acked = view.acked
+    for starts in kernel.batches(view.outbox, _payload_size):
+        msg = messages.StartBatch(starts=starts, want=want, acked=acked)
+        out.append(effects.Send(view.conn, msg))
+        want, acked = NO_CHANGE, []
+    return out
+
+
+def _payload_size(start):
+    return len(start.payload)
--- /dev/null
+++ b/azurepier/entry/tests/test_machine.py
@@ -0,0 +1,152 @@
+"""Random sequences of submissions and faults on a small fleet."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from azurepier.kernel import events
+from azurepier import testing
+
+ENTRIES = 3
+ENDPOINTS = 3
+SETTLE_S = 90.0
+
+
+class FleetMachine(stateful.RuleBasedStateMachine):
+    """Guards against any order of faults that breaks a promise.
+
+    Jobs are submitted and resubmitted through all entries while processes
+    die, freeze, restart and lose contact.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = testing.make_fleet(
+            entries=ENTRIES, speeds=(1.0, 2.0, 3.0), slots=2
+        )
+        self.driver = self.fleet.driver
+        self.jobs = []  # (job id, spec)
+        self.requests = []  # (entry process, req, job id, spec)
+        self.restarts = 0
+
+    def _submit(self, index, job_id, spec):
+        process = self.fleet.entries[index]
+        if not process.alive or process.stopped:
+            return
+        req = self.fleet.submit(index, spec, job_id)
+        self.requests.append((process, req, job_id, spec))
+
+    def _live(self, index):
+        """Return the newest entry in a place."""
+        return self.fleet.entries[index]
+
+    @stateful.rule(
+        index=st.integers(0, ENTRIES - 1),
+        times=st.lists(st.sampled_from([30, 200, 900]), max_size=5),
+        urgent=st.booleans(),
+    )
+    def submit(self, index, times, urgent):
+        process = self._live(index)
+        if not process.alive or process.frozen:
+            return
+        times = [50 + len(self.jobs), *times]
+        spec = testing.spec(times, urgent=urgent, deadline_ms=20_000)
+        req = self.fleet.request(index, lambda req: events.NewIds(req, 1))
+        self.driver.run_until(self.driver.now + 0.01)
+        ids = self.fleet.answer(index, req)
+        if getattr(ids, 'ids', None):
+            self.jobs.append((ids.ids[0], spec))
+            self._submit(index, ids.ids[0], spec)
+
+    @stateful.precondition(lambda self: self.jobs)
+    @stateful.rule(index=st.integers(0, ENTRIES - 1), data=st.data())
+    def resubmit(self, index, data):
+        job_id, spec = data.draw(st.sampled_from(self.jobs))
+        self._submit(index, job_id, spec)
+
+    @stateful.precondition(lambda self: self.jobs)
+    @stateful.rule(index=st.integers(0, ENTRIES - 1), data=st.data())
+    def cancel(self, index, data):
+        job_id, _ = data.draw(st.sampled_from(self.jobs))
+        if self._live(index).alive:
+            self.fleet.request(
+                index, lambda req: events.CancelJob(req, job_id, 'ash')
+            )
+
+    @stateful.rule(index=st.integers(0, ENTRIES - 1))
+    def restart_entry(self, index):
+        old = self._live(index)
+        self.driver.kill(old)
+        self.restarts += 1
+        process = self.fleet.add_entry(old.name)
+        self.fleet.entries.pop()
+        self.fleet.entries[index] = process
+
+    @stateful.rule(index=st.integers(0, ENDPOINTS - 1))
+    def restart_endpoint(self, index):
+        old = self.fleet.endpoints[index]
+        self.driver.kill(old)
+        process = self.fleet.add_endpoint(old.name, 1.0 + index, 2)
+        self.fleet.endpoints.pop()
+        self.fleet.endpoints[index] = process
+
+    @stateful.rule(index=st.integers(0, ENDPOINTS - 1))
+    def drain_endpoint(self, index):
+        self.driver.feed(self.fleet.endpoints[index], events.Drain())
+
+    @stateful.rule(
+        index=st.integers(0, ENTRIES + ENDPOINTS - 1),
+        seconds=st.sampled_from([0.3, 2.0, 6.0, 20.0]),
+    )
+    def freeze(self, index, seconds):
+        process = (self.fleet.entries + self.fleet.endpoints)[index]
+        if process.alive and not process.frozen:
+            self.driver.freeze(process)
+            self.driver.after(seconds, self._thaw, process)
+
+    def _thaw(self, process):
+        if process.frozen:
+            self.driver.thaw(process)
+
+    @stateful.rule(
+        first=st.integers(0, ENTRIES - 1),
+        second=st.integers(0, ENTRIES + ENDPOINTS - 1),
+        lasting=st.booleans(),
+    )
+    def lose_contact(self, first, second, lasting):
+        a = self.fleet.entries[first]
+        b = (self.fleet.entries + self.fleet.endpoints)[second]
+        if lasting:
+            self.driver.cut(a, b)
+            self.driver.after(10.0, self.driver.heal, a, b)
+        else:
+            self.driver.silence(a, b)
+
+    @stateful.rule(seconds=st.sampled_from([0.001, 0.04, 0.4, 2.0, 8.0]))
+    def wait(self, seconds):
+        self.driver.run_until(self.driver.now + seconds)
+
+    @stateful.invariant()
+    def nothing_starts_twice(self):
+        testing.check_no_double_start(self.fleet)
+
+    def teardown(self):
+        self.driver.run_until(self.driver.now + SETTLE_S)
+        testing.check_no_double_start(self.fleet)
+        for process, req, job_id, spec in self.requests:
+            found = self.driver.answers.get((process.name, req))
+            answer = found[1] if found else None
+            testing.check_job(self.fleet, spec, answer, job_id)
+            if process.alive:
+                assert answer is not None, 'a caller got no answer'
+
+
+TestFleet = FleetMachine.TestCase
+TestFleet.settings = hypothesis.settings(
+    max_examples=60,
+    stateful_step_count=30,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
--- a/azurepier/jobs/_table.py
+++ b/azurepier/jobs/_table.py
@@ -35,6 +35,7 @@
     outputs: list
     left: int
     bytes: int
+    output_bytes: int = 0
     open: dict = attrs.field(factory=dict)
     waiters: list = attrs.field(factory=list)
     exposed: bool = False
@@ -114,6 +115,7 @@
     """Store the output of a task that is done."""
     job.outputs[task] = output
     job.left -= 1
+    job.output_bytes += len(output)
     job.bytes += len(output)
     table.bytes += len(output)
 
--- a/azurepier/kernel/_job.py
+++ b/azurepier/kernel/_job.py
@@ -8,6 +8,14 @@
 
 MAX_TASKS = 140
 MAX_DEADLINE_MS = 3_600_000
+# Messages are limited to 4 MiB. A job with all its payloads, or an answer
+# with all its outputs, must fit when one entry passes it to another as JSON
+# strings, which makes them up to three times as long.
+MAX_PAYLOAD_BYTES = 256 * 1024
+MAX_JOB_BYTES = 1024 * 1024
+MAX_ANSWER_BYTES = 1024 * 1024
+# Lists of starts and outcomes are split into messages of about this size.
+BATCH_BYTES = 1024 * 1024
 
 
 @attrs.frozen
@@ -102,6 +110,7 @@
     'impossible': (422, 'No endpoint can run this job'),
     'overloaded': (429, 'The job would miss its deadline'),
     'queue-full': (429, 'The queue of the plan is full'),
+    'answer-too-large': (502, 'The outputs are too large'),
     'task-failed': (502, 'A task failed'),
     'task-lost': (502, 'A task was lost with its worker'),
     'owner-lost': (502, 'The entry that owned the job was lost'),
--- a/azurepier/web/_parse.py
+++ b/azurepier/web/_parse.py
@@ -173,6 +173,11 @@
         raise kernel.InvalidInputError(
             f'{prefix}.payload', 'a number is out of range'
         ) from None
+    if len(payload) > kernel.MAX_PAYLOAD_BYTES:
+        limit = kernel.MAX_PAYLOAD_BYTES
+        raise kernel.InvalidInputError(
+            f'{prefix}.payload', f'longer than {limit} bytes'
+        )
     duration_ms = value.get('duration_ms')
     return kernel.TaskSpec(
         value['kind'],
@@ -212,6 +217,10 @@
     value = decode_body(body)
     _check_object(value, _JOB_CHECKS, _JOB_REQUIRED, '')
     tasks = tuple(_task(item, i) for i, item in enumerate(value['tasks']))
+    if sum(len(task.payload) for task in tasks) > kernel.MAX_JOB_BYTES:
+        limit = kernel.MAX_JOB_BYTES
+        reason = f'the payloads are longer than {limit} bytes'
+        raise kernel.InvalidInputError('tasks', reason)
     urgent = value.get('urgent', False)
     idempotent = value.get('idempotent', False)
     return kernel.JobSpec(
--- a/azurepier/web/_requests.py
+++ b/azurepier/web/_requests.py
@@ -8,7 +8,7 @@
 from azurepier import kernel
 from azurepier.web import _answers
 
-MAX_BODY_BYTES = 8 * 1024 * 1024
+MAX_BODY_BYTES = 2 * 1024 * 1024
 _RESPOND_ASYNC = b'respond-async'
 
 
--- a/azurepier/wire/gen/messages/ttypes.py
+++ b/azurepier/wire/gen/messages/ttypes.py
@@ -1663,8 +1663,7 @@
 
     Attributes:
      - highest
-     - running
-     - outcomes
+     - known
      - granted
      - free
      - long_free
@@ -1673,18 +1672,16 @@
 
     __slots__ = (
         'highest',
-        'running',
-        'outcomes',
+        'known',
         'granted',
         'free',
         'long_free',
     )
 
 
-    def __init__(self, highest=None, running=None, outcomes=None, granted=None, free=None, long_free=None,):
+    def __init__(self, highest=None, known=None, granted=None, free=None, long_free=None,):
         self.highest = highest
-        self.running = running
-        self.outcomes = outcomes
+        self.known = known
         self.granted = granted
         self.free = free
         self.long_free = long_free
@@ -1705,36 +1702,25 @@
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
-                    self.running = []
+                    self.known = []
                     (_etype52, _size49) = iprot.readListBegin()
                     for _i53 in range(_size49):
                         _elem54 = iprot.readI64()
-                        self.running.append(_elem54)
+                        self.known.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.LIST:
-                    self.outcomes = []
-                    (_etype58, _size55) = iprot.readListBegin()
-                    for _i59 in range(_size55):
-                        _elem60 = Outcome()
-                        _elem60.read(iprot)
-                        self.outcomes.append(_elem60)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
                 if ftype == TType.I64:
                     self.granted = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
+            elif fid == 4:
                 if ftype == TType.I32:
                     self.free = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
+            elif fid == 5:
                 if ftype == TType.I32:
                     self.long_free = iprot.readI32()
                 else:
@@ -1753,30 +1739,23 @@
             oprot.writeFieldBegin('highest', TType.I64, 1)
             oprot.writeI64(self.highest)
             oprot.writeFieldEnd()
-        if self.running is not None:
-            oprot.writeFieldBegin('running', TType.LIST, 2)
-            oprot.writeListBegin(TType.I64, len(self.running))
-            for iter61 in self.running:
-                oprot.writeI64(iter61)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.outcomes is not None:
-            oprot.writeFieldBegin('outcomes', TType.LIST, 3)
-            oprot.writeListBegin(TType.STRUCT, len(self.outcomes))
-            for iter62 in self.outcomes:
-                iter62.write(oprot)
+        if self.known is not None:
+            oprot.writeFieldBegin('known', TType.LIST, 2)
+            oprot.writeListBegin(TType.I64, len(self.known))
+            for iter55 in self.known:
+                oprot.writeI64(iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.granted is not None:
-            oprot.writeFieldBegin('granted', TType.I64, 4)
+            oprot.writeFieldBegin('granted', TType.I64, 3)
             oprot.writeI64(self.granted)
             oprot.writeFieldEnd()
         if self.free is not None:
-            oprot.writeFieldBegin('free', TType.I32, 5)
+            oprot.writeFieldBegin('free', TType.I32, 4)
             oprot.writeI32(self.free)
             oprot.writeFieldEnd()
         if self.long_free is not None:
-            oprot.writeFieldBegin('long_free', TType.I32, 6)
+            oprot.writeFieldBegin('long_free', TType.I32, 5)
             oprot.writeI32(self.long_free)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2018,6 +1997,7 @@
      - query
      - job_id
      - tasks
+     - more
 
     """
 
@@ -2025,13 +2005,15 @@
         'query',
         'job_id',
         'tasks',
+        'more',
     )
 
 
-    def __init__(self, query=None, job_id=None, tasks=None,):
+    def __init__(self, query=None, job_id=None, tasks=None, more=None,):
         self.query = query
         self.job_id = job_id
         self.tasks = tasks
+        self.more = more
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2055,14 +2037,19 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.tasks = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = TaskReport()
-                        _elem68.read(iprot)
-                        self.tasks.append(_elem68)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = TaskReport()
+                        _elem61.read(iprot)
+                        self.tasks.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.more = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2084,10 +2071,14 @@
         if self.tasks is not None:
             oprot.writeFieldBegin('tasks', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.tasks))
-            for iter69 in self.tasks:
-                iter69.write(oprot)
+            for iter62 in self.tasks:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.more is not None:
+            oprot.writeFieldBegin('more', TType.BOOL, 4)
+            oprot.writeBool(self.more)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2907,11 +2898,10 @@
 ResumeReport.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'highest', None, None, ),  # 1
-    (2, TType.LIST, 'running', (TType.I64, None, False), None, ),  # 2
-    (3, TType.LIST, 'outcomes', (TType.STRUCT, [Outcome, None], False), None, ),  # 3
-    (4, TType.I64, 'granted', None, None, ),  # 4
-    (5, TType.I32, 'free', None, None, ),  # 5
-    (6, TType.I32, 'long_free', None, None, ),  # 6
+    (2, TType.LIST, 'known', (TType.I64, None, False), None, ),  # 2
+    (3, TType.I64, 'granted', None, None, ),  # 3
+    (4, TType.I32, 'free', None, None, ),  # 4
+    (5, TType.I32, 'long_free', None, None, ),  # 5
 )
 all_structs.append(FenceJob)
 FenceJob.thrift_spec = (
@@ -2935,6 +2925,7 @@
     (1, TType.I64, 'query', None, None, ),  # 1
     (2, TType.STRING, 'job_id', 'UTF8', None, ),  # 2
     (3, TType.LIST, 'tasks', (TType.STRUCT, [TaskReport, None], False), None, ),  # 3
+    (4, TType.BOOL, 'more', None, None, ),  # 4
 )
 all_structs.append(Leave)
 Leave.thrift_spec = (
--- a/thrift/azurepier.thrift
+++ b/thrift/azurepier.thrift
@@ -118,11 +118,10 @@
 /** First message of an endpoint on each session. */
 struct ResumeReport {
   1: i64 highest            // highest sequence number ever received
-  2: list<i64> running
-  3: list<Outcome> outcomes
-  4: i64 granted
-  5: i32 free
-  6: i32 long_free
+  2: list<i64> known        // starts that run or whose outcomes follow
+  3: i64 granted
+  4: i32 free
+  5: i32 long_free
 }
 
 struct FenceJob {
@@ -143,6 +142,7 @@
   1: i64 query
   2: string job_id
   3: list<TaskReport> tasks
+  4: bool more              // further reports on the same query follow
 }
 
 struct Leave {
