Serve the request that drains a process

"azurepier drain" posts to /v1/drain at a process's web address, but no process served it. Entries and endpoint processes now do, and begin the same graceful stop as on SIGTERM.

A proof that is observed on the network can only repeat the drain of the same run. The customers' bearer tokens were ruled out: a customer must not stop an entry.

A SIGTERM during a drain that was begun by request counted as the second signal and ended the process at once. Signals are now counted separately from the drain, so that a service manager's first signal does no harm.

The stand-ins' HTTP server hands request headers to its handlers, which the test of the command needs.

--- a/azurepier/cli/_processes.py
+++ b/azurepier/cli/_processes.py
@@ -9,6 +9,7 @@
 from azurepier.cli import _web
 from azurepier import kernel
 from azurepier import timeline
+from azurepier import web
 
 _POLL_S = 0.25
 
@@ -120,10 +121,28 @@
         return f'{process.role} {process.name}: {exc}'
 
 
+def _key(ctx, param, value):
+    if value is None:
+        return None
+    # Processes ignore white space around a key, too.
+    key = value.read().strip()
+    if not key:
+        raise click.BadParameter('the file is empty')
+    return key
+
+
 @click.command()
 @click.argument('role', type=click.Choice(['entry', 'endpoint']))
 @click.argument('name')
 @_web.entry_options
+@click.option(
+    '--key-file',
+    'key',
+    type=click.File('rb'),
+    callback=_key,
+    help='File with a shared key of the process, for a process on another'
+    ' machine.',
+)
 @click.option(
     '--wait',
     'wait_s',
@@ -133,12 +152,14 @@
     help='Wait until the process has stopped.',
 )
 @_run.reported
-async def drain(role, name, entries, token, wait_s):
+async def drain(role, name, entries, token, key, wait_s):
     """Let the entry or endpoint process NAME finish its work and stop."""
     async with _web.session() as http:
         found = await _web.discover(http, entries)
         process = _named(found, role, name)
-        await _web.request(http, 'POST', process.url + '/v1/drain', token, {})
+        url = process.url + _web.DRAIN_PATH
+        authorization = _drain_authorization(process, key)
+        await _web.send(http, 'POST', url, authorization, {})
         stopped = await _stopped(http, process.url, wait_s)
     if wait_s and not stopped:
         text = f'{role} {name} still runs after {wait_s:g} s'
@@ -148,6 +169,17 @@
     return _run.Output(value, text)
 
 
+def _drain_authorization(process, key):
+    """Return the header that proves to a process that the key is known."""
+    if key is None:
+        return ''
+    if process.status is None:
+        # The proof is made for one incarnation, which is not known.
+        raise _run.EntryError(process.error)
+    incarnation = process.status.get('incarnation', '')
+    return 'HMAC ' + web.drain_proof(key, process.name, incarnation)
+
+
 def _named(found, role, name):
     matching = [p for p in found if (p.role, p.name) == (role, name)]
     if not matching:
--- a/azurepier/cli/_run.py
+++ b/azurepier/cli/_run.py
@@ -26,6 +26,10 @@
     """An entry or endpoint process did not answer as expected."""
 
 
+class NotAllowedError(EntryError):
+    """A process does not let this caller drain it."""
+
+
 class RefusedError(kernel.AzurepierError):
     """A process refused a request; `document` is its problem document."""
 
@@ -57,6 +61,12 @@
         'check --platform or AZUREPIER_PLATFORM; running processes keep the'
         ' configuration that is in force',
     ),
+    (
+        NotAllowedError,
+        NO_ENTRY,
+        'pass --key-file with a key of the process, or run the command on the'
+        " process's machine",
+    ),
     (
         EntryError,
         NO_ENTRY,
--- a/azurepier/cli/_web.py
+++ b/azurepier/cli/_web.py
@@ -22,6 +22,8 @@
 # Statuses are read from this many processes at the same time.
 _PARALLEL = 50
 _JSON = b'application/json'
+_FORBIDDEN = 403
+DRAIN_PATH = '/v1/drain'
 
 
 def entry_options(function):
@@ -91,12 +93,22 @@
     ------
     EntryError
         If there is no answer, or none that a process of azurepier gives.
+    NotAllowedError
+        If the process does not let this caller drain it.
     RefusedError
         If the answer is a problem document.
     """
+    authorization = f'Bearer {token}' if token else ''
+    return await send(http, method, url, authorization, body, limit_s)
+
+
+async def send(
+    http, method, url, authorization='', body=None, limit_s=LIMIT_S
+):
+    """Send a request with a value for ``Authorization``; see `request`."""
     headers = []
-    if token:
-        headers.append((b'authorization', f'Bearer {token}'.encode()))
+    if authorization:
+        headers.append((b'authorization', authorization.encode()))
     try:
         async with asyncio.timeout(limit_s):
             found = Request(method, url.encode(), headers)
@@ -123,6 +135,8 @@
 def _refused(url, status, document):
     title = document.get('title') or f'status {status}'
     detail = document.get('detail') or ''
+    if status == _FORBIDDEN and url.endswith(DRAIN_PATH):
+        return _run.NotAllowedError(f'{url}: {title}: {detail}')
     if '/v1/jobs/' not in url or 'verdict' not in document:
         return _run.EntryError(f'{url}: {title} {detail}'.rstrip())
     text = f'{title}: {detail} ({document["verdict"]})'
--- a/azurepier/cli/tests/test_cli.py
+++ b/azurepier/cli/tests/test_cli.py
@@ -9,6 +9,7 @@
 import pytest
 
 from azurepier import cli
+from azurepier import web
 from standins import _server
 from standins import platform as standin
 
@@ -230,6 +231,32 @@
         code, _, errors = run('drain', 'entry', 'w1', *args)
         assert (code, 'there are: e1, e2' in errors) == (3, True)
 
+    def test_drain_with_a_key(self, serve, tmp_path):
+        # Guards against a remote process that can't be drained, and against
+        # advice that leads away from the missing key.
+        key = tmp_path / 'key'
+        key.write_text('0123456789abcdef\n')
+        seen = []
+        status = {'role': 'entry', 'name': 'e1', 'incarnation': 'y'}
+
+        async def handle(request):
+            if request.method == 'GET':
+                return _server.Reply(status)
+            seen.append(request.headers.get('authorization'))
+            known = seen[-1] == 'HMAC ' + web.drain_proof(
+                b'0123456789abcdef', 'e1', 'y'
+            )
+            return _server.Reply({}, 202 if known else 403)
+
+        args = ('drain', 'entry', 'e1', '--entry', serve(handle))
+        assert run(*args, '--key-file', key)[0] == 0
+        code, _, errors = run(*args)
+        assert (code, '--key-file' in errors) == (6, True)
+        assert seen[-1] is None
+        key.write_text('\n')
+        assert run(*args, '--key-file', key)[0] == 2
+        assert len(seen) == 2
+
     def test_no_entry_is_reachable(self):
         # Guards against an empty answer that looks like an idle system.
         assert run('status')[0] == 6
--- a/azurepier/daemon/_main.py
+++ b/azurepier/daemon/_main.py
@@ -24,10 +24,13 @@
 
 
 def _on_stop_signal(process):
-    if process.stopping.is_set():
-        # A second signal: the operator does not want to wait.
+    if process.signalled:
+        # A second signal: the operator does not want to wait. A request to
+        # drain does not count, since a service manager may send the first
+        # signal while the process drains.
         os._exit(EXIT_FAILED)
-    _process.stop(process)
+    process.signalled = True
+    process.shell.stop()
 
 
 def _handle_signals(process):
--- a/azurepier/daemon/_process.py
+++ b/azurepier/daemon/_process.py
@@ -35,15 +35,15 @@
         Ends everything that was started, in reverse order.
     addresses : dict
         Where the process listens, by name of the setting.
-    stopping : asyncio.Event
-        Set by the first signal that asks the process to stop.
+    signalled : bool
+        Whether a signal has asked the process to stop.
     """
 
     shell: _shell.Shell
     keys: _keys.Keys
     closers: contextlib.AsyncExitStack
     addresses: dict
-    stopping: asyncio.Event = attrs.field(factory=asyncio.Event)
+    signalled: bool = False
 
 
 def bind(settings, key):
@@ -93,14 +93,6 @@
     )
 
 
-def stop(process):
-    """Begin a graceful end; a second call has no effect."""
-    if not process.stopping.is_set():
-        process.stopping.set()
-        _log.info('draining', incarnation=process.shell.node.incarnation)
-        process.shell.drain()
-
-
 def reload_keys(process):
     """Read the key files again; on a fault the old keys stay in force."""
     try:
@@ -119,7 +111,7 @@
     bool
         Whether the drain ended in time.
     """
-    await process.stopping.wait()
+    await process.shell.stopping.wait()
     drained = True
     try:
         async with asyncio.timeout(DRAIN_LIMIT_S):
--- a/azurepier/daemon/_shell.py
+++ b/azurepier/daemon/_shell.py
@@ -40,6 +40,8 @@
     table : dict
         Function ``(shell, effect)`` by class of effect. The endpoint process
         adds those that run tasks.
+    stopping : asyncio.Event
+        Set when the process was first asked to stop.
     stopped : asyncio.Event
         Set when the node has finished its drain.
     """
@@ -56,6 +58,7 @@
     hooks: wire.Hooks = attrs.field(init=False)
     conns: dict = attrs.field(factory=dict)
     waiting: dict = attrs.field(factory=dict)
+    stopping: asyncio.Event = attrs.field(factory=asyncio.Event)
     stopped: asyncio.Event = attrs.field(factory=asyncio.Event)
     closing: bool = False
     handler_errors: int = 0
@@ -211,9 +214,15 @@
         """Return the configuration in force as JSON bytes."""
         return config.to_json(self.node.adoption.current)
 
-    def drain(self):
-        """Begin to stop; `stopped` is set when all work has ended."""
-        self.feed(events.Drain())
+    def stop(self):
+        """Begin a graceful stop; a second call has no effect.
+
+        `stopped` is set when all work has ended.
+        """
+        if not self.stopping.is_set():
+            self.stopping.set()
+            _log.info('draining', incarnation=self.node.incarnation)
+            self.feed(events.Drain())
 
     async def close(self):
         """Close all connections and stop the alarm."""
--- a/azurepier/daemon/tests/test_process.py
+++ b/azurepier/daemon/tests/test_process.py
@@ -100,7 +100,7 @@
 
 async def end(process):
     """Stop a process gracefully."""
-    _process.stop(process)
+    process.shell.stop()
     assert await _process.finish(process)
 
 
@@ -156,6 +156,29 @@
             assert await client.list_entries() == []
             await client.close()
 
+    @in_loop
+    async def test_drain_by_request(self, monkeypatch):
+        """Guards against a request that stops less than a signal does."""
+        codes = []
+        monkeypatch.setattr(os, '_exit', codes.append)
+        async with contextlib.AsyncExitStack() as stack:
+            _, url = await start_platform(stack)
+            front, back = await start_cluster(stack, url)
+            addresses = (
+                front.addresses['web_listen'],
+                back.addresses['listen_web'],
+            )
+            for process, address in zip((front, back), addresses):
+                status, body = await call(address, 'POST', '/v1/drain', {})
+                assert (status, json.loads(body)['draining']) == (202, True)
+                assert process.shell.node.draining
+                # A service manager's signal must not cut the drain short.
+                _main._on_stop_signal(process)
+                assert not codes
+            assert await asyncio.gather(
+                _process.finish(front), _process.finish(back)
+            ) == [True, True]
+
     @in_loop
     async def test_address_in_use(self):
         """Guards against a start that fails without naming the setting."""
--- a/azurepier/web/__init__.py
+++ b/azurepier/web/__init__.py
@@ -2,6 +2,7 @@
 
 from azurepier.web._app import create_app
 from azurepier.web._app import create_operators_app
+from azurepier.web._drain import drain_proof
 from azurepier.web._parse import parse_ids_request
 from azurepier.web._parse import parse_job
 from azurepier.web._requests import MAX_BODY_BYTES
@@ -10,6 +11,7 @@
     'MAX_BODY_BYTES',
     'create_app',
     'create_operators_app',
+    'drain_proof',
     'parse_ids_request',
     'parse_job',
 ]
--- a/azurepier/web/_answers.py
+++ b/azurepier/web/_answers.py
@@ -112,14 +112,14 @@
     return _BUILDERS[type(answer)](answer, field)
 
 
-def no_such_path(method, path):
-    """Return the problem document for a path that is not served."""
+def problem(status, title, detail):
+    """Return the problem document for a request that is not about a job."""
     document = {
         'type': 'about:blank',
-        'title': 'Not Found',
-        'status': 404,
-        'detail': f'{method} {path} is not served here',
+        'title': title,
+        'status': status,
+        'detail': detail,
         'verdict': kernel.Verdict.NOT_RUN.value,
     }
     body = json.dumps(document).encode()
-    return Response(404, None, Content(_PROBLEM, body))
+    return Response(status, None, Content(_PROBLEM, body))
--- a/azurepier/web/_app.py
+++ b/azurepier/web/_app.py
@@ -11,6 +11,7 @@
 
 from azurepier import kernel
 from azurepier.web import _answers
+from azurepier.web import _drain
 from azurepier.web import _jobs
 from azurepier.web import _metrics
 from azurepier.web import _operators
@@ -51,7 +52,8 @@
 
 async def _not_served(request: Request) -> Response:
     path = request.path if request.path.isprintable() else ascii(request.path)
-    return _answers.no_such_path(request.method, path)
+    detail = f'{request.method} {path} is not served here'
+    return _answers.problem(404, 'Not Found', detail)
 
 
 def _operator_routes(shell, metrics):
@@ -62,6 +64,7 @@
         ('GET', '/v1/events'): _operators.make_events(shell),
         ('GET', '/v1/status'): _operators.make_status(shell),
         ('GET', '/v1/config'): _operators.make_config(shell),
+        ('POST', '/v1/drain'): _drain.make_drain(shell),
     }
 
 
@@ -80,7 +83,8 @@
     Parameters
     ----------
     shell : azurepier.daemon.Shell
-        Its `node`, `ask`, `ring`, `status` and `config_json` are used.
+        Its `node`, `ask`, `ring`, `status`, `config_json`, `keys` and `stop`
+        are used.
     registry : prometheus_client.CollectorRegistry, optional
         Holds the metrics and is served as ``/metrics``. A new one by
         default.
--- a/azurepier/web/tests/fakes.py
+++ b/azurepier/web/tests/fakes.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import json
+import types
 
 import attrs
 
@@ -34,6 +35,7 @@
     adoption: config.Adoption
     draining: bool = False
     incarnation: str = '00000000000000aa'
+    options: object = types.SimpleNamespace(name='entry-1')
 
 
 @attrs.define
@@ -48,6 +50,11 @@
         factory=lambda: timeline.Ring(10, 'entry-1', 'aa', lambda: 5.0)
     )
     events: list = attrs.field(factory=list)
+    keys: object = tuple
+    stops: int = 0
+
+    def stop(self):
+        self.stops += 1
 
     async def ask(self, factory):
         event = factory(len(self.events) + 1)
@@ -89,11 +96,20 @@
     return value | changes
 
 
-def call(app, method, path, body=b'', token=TOKEN, headers=(), gone=False):
+def call(
+    app,
+    method,
+    path,
+    body=b'',
+    token=TOKEN,
+    headers=(),
+    gone=False,
+    peer=None,
+):
     """Send one request through ASGI and return its `Reply`.
 
     `body` is bytes, a list of chunks, or a JSON value. With `gone` the
-    caller disconnects after the body.
+    caller disconnects after the body. `peer` is the caller's IP address.
     """
     if not isinstance(body, (bytes, list)):
         body = json.dumps(body).encode()
@@ -109,6 +125,7 @@
         'raw_path': path.encode(),
         'query_string': query.encode(),
         'headers': list(headers),
+        'client': (peer, 1234) if peer else None,
     }
     return asyncio.run(_exchange(app, scope, chunks, gone))
 
--- a/standins/_server.py
+++ b/standins/_server.py
@@ -20,11 +20,12 @@
 
 @attrs.define
 class Request:
-    """A received request."""
+    """A received request; names of headers are in lower case."""
 
     method: str
     path: str
     body: bytes
+    headers: dict = attrs.field(factory=dict)
 
     def json(self):
         """Return the JSON object in the body, which may be empty."""
@@ -65,6 +66,7 @@
         self.transport = None
         self.url = b''
         self.body = bytearray()
+        self.headers = {}
         self.tasks = set()
         self.stream = None
 
@@ -87,6 +89,9 @@
     def on_url(self, url):
         self.url += url
 
+    def on_header(self, name, value):
+        self.headers[name.decode('latin-1').lower()] = value.decode('latin-1')
+
     def on_body(self, data):
         self.body += data
         if len(self.body) > _MAX_BODY_BYTES:
@@ -95,8 +100,9 @@
     def on_message_complete(self):
         path = httptools.parse_url(self.url).path.decode()
         method = self.parser.get_method().decode()
-        request = Request(method, path, bytes(self.body))
+        request = Request(method, path, bytes(self.body), self.headers)
         self.url = b''
+        self.headers = {}
         self.body.clear()
         task = asyncio.get_running_loop().create_task(self._answer(request))
         self.tasks.add(task)
