Notice frozen entries early and follow ids of other entries' making

All new ids may come from one leading entry, whichever entry was asked.

A frozen entry held requests for half of their deadline and got new ones meanwhile. Shorter time-outs were ruled out: slow jobs would be resubmitted.

A refusal now says by naming the id whether it binds other copies, in place of a list of types: entries refuse for good what they refuse by id.

--- a/azurepier/client/_async.py
+++ b/azurepier/client/_async.py
@@ -12,6 +12,7 @@
 from azurepier.client import _decisions
 from azurepier.client import _supply
 from azurepier.client import _transport
+from azurepier.client import _watch
 from azurepier import kernel
 
 # After the deadline the entry answers with the verdict; this long the client
@@ -25,6 +26,7 @@
 _IDS_LIMIT_S = 5.0
 DEFAULT_DEADLINE_S = 60.0
 _MS_PER_S = 1000
+_LOST_OWNER_TYPES = ('owner-lost', 'owner-unreachable')
 _Kind = _decisions.Kind
 _Step = _decisions.Step
 
@@ -138,6 +140,9 @@
         self._refills = {}
         self._budget = _decisions.Budget(retry_share)
         self._pools = _transport.make_pools()
+        self._watch = _watch.Watch(
+            self._probe, lambda url: self._entries.suspect(url, self._clock())
+        )
 
     async def __aenter__(self):
         return self
@@ -147,6 +152,7 @@
 
     async def close(self):
         """Close all connections."""
+        self._watch.close()
         for refill in self._refills.values():
             refill.cancel()
         await self._pools.dispose()
@@ -249,17 +255,47 @@
             answer = await self._exchange(sub.url, method, path, body, limit_s)
         except _transport.NoContactError as exc:
             return _decisions.Outcome(exc.kind, detail=str(exc))
-        return _transport.read_outcome(answer, sub.count)
+        outcome = _transport.read_outcome(answer, sub.count)
+        if outcome.type in _LOST_OWNER_TYPES:
+            self._ids.clear()
+        return outcome
 
     async def _exchange(self, url, method, path, body, limit_s):
+        waits = []
         try:
             return await _transport.exchange(
-                self._pools, method, url + path, self._headers, body, limit_s
+                self._pools,
+                method,
+                url + path,
+                self._headers,
+                body,
+                limit_s,
+                lambda timeout: waits.append(self._watch.begin(url, timeout)),
             )
         except _transport.NoContactError:
             self._entries.suspect(url, self._clock())
-            self._ids.discard(url)
+            self._ids.clear()
             raise
+        finally:
+            for wait in waits:
+                self._watch.end(wait)
+
+    async def _probe(self, url):
+        """Tell whether an entry answers; until then nothing new goes there."""
+        try:
+            await _transport.exchange(
+                self._pools,
+                'GET',
+                url + '/healthz',
+                [],
+                b'',
+                _watch.PROBE_LIMIT_S,
+            )
+        except _transport.NoContactError:
+            self._entries.suspect(url, self._clock())
+            return False
+        self._entries.clear(url)
+        return True
 
     # Job ids
 
--- a/azurepier/client/_decisions.py
+++ b/azurepier/client/_decisions.py
@@ -19,26 +19,19 @@
 # Clients that were told the same time come back spread over this share.
 _RETRY_JITTER = 0.1
 
-# The owner has recorded these refusals, or refuses all jobs from now on: no
-# copy of the submission can start later under the same id.
-_SPENT_TYPES = frozenset(
-    ('overloaded', 'queue-full', 'answers-full', 'draining')
+# Refusals that another submission may escape.
+_TEMPORARY_TYPES = frozenset(
+    ('overloaded', 'queue-full', 'answers-full', 'draining', 'not-ready')
 )
 # An id that the client never used before can be refused for its age, or
-# because its owner is gone.
-_STALE_TYPES = frozenset(('expired', 'unknown-job'))
+# because its owner is gone and got nothing of the submission.
+_STALE_TYPES = frozenset(('expired', 'unknown-job', 'owner-unreachable'))
+# No other entry and no later request for job ids fares better.
+_HOPELESS_TYPES = frozenset(
+    ('unauthorized', 'forbidden', 'unknown-customer', 'invalid-input')
+)
 # Nobody waits for these jobs any more, so they are not run again.
 _ENDED_TYPES = frozenset(('cancelled', 'deadline'))
-# Refusals of one request that bind no other copy of the submission.
-_UNSEALED_TYPES = frozenset(
-    (
-        'unknown-job',
-        'not-ready',
-        'unauthorized',
-        'forbidden',
-        'unknown-customer',
-    )
-)
 
 
 class Kind(enum.Enum):
@@ -63,6 +56,9 @@
         Outputs in task order, for `Kind.COMPLETE`.
     type, detail, verdict, retry_after_s
         From the problem document, for `Kind.REFUSED`.
+    binding : bool
+        The refusal holds for the job id: no other copy of the submission
+        starts later. Otherwise it concerns this request alone.
     for_ids : bool
         The request asked for job ids and named no job.
     """
@@ -73,6 +69,7 @@
     detail: str = ''
     verdict: Verdict = Verdict.NOT_RUN
     retry_after_s: float | None = None
+    binding: bool = False
     for_ids: bool = False
 
 
@@ -101,7 +98,7 @@
     NEVER_SENT = 'never sent'
     NO_CONTACT = 'no contact'
     SPENT = 'spent'
-    NOT_READY = 'not ready'
+    REFUSED_ONCE = 'refused once'
     STALE = 'stale'
     UNKNOWN = 'unknown'
     LOST = 'lost'
@@ -209,7 +206,7 @@
         Event.NEVER_SENT: _Rule(Step.NEW_ID, other=True),
         Event.NO_CONTACT: _AGAIN,
         Event.SPENT: _Rule(Step.NEW_ID, other=True),
-        Event.NOT_READY: _Rule(Step.RESUBMIT, other=True),
+        Event.REFUSED_ONCE: _Rule(Step.RESUBMIT, other=True),
         Event.STALE: _Rule(Step.NEW_ID),
         Event.UNKNOWN: _RAISE,
         Event.LOST: _RERUN,
@@ -221,7 +218,7 @@
         # Only a submission lets another entry recover the whole answer.
         Event.NO_CONTACT: _AGAIN,
         Event.SPENT: _Rule(Step.NEW_ID, other=True),
-        Event.NOT_READY: _Rule(Step.FETCH, other=True),
+        Event.REFUSED_ONCE: _Rule(Step.FETCH, other=True),
         Event.UNKNOWN: _Rule(Step.RESUBMIT),
         Event.LOST: _RERUN,
         Event.FINAL: _RAISE,
@@ -232,11 +229,14 @@
 
 
 def _refusal_event(job, outcome):
-    if outcome.type == 'not-ready':
-        # Without an id there is nothing that could be sent again.
-        return Event.SPENT if outcome.for_ids else Event.NOT_READY
-    if outcome.verdict is Verdict.NOT_RUN and outcome.type in _SPENT_TYPES:
-        return Event.SPENT
+    if outcome.for_ids:
+        hopeless = outcome.type in _HOPELESS_TYPES
+        return Event.FINAL if hopeless else Event.SPENT
+    if outcome.verdict is Verdict.NOT_RUN and (
+        outcome.type in _TEMPORARY_TYPES
+    ):
+        sealed = outcome.binding or not job.unsure
+        return Event.SPENT if sealed else Event.REFUSED_ONCE
     if outcome.type in _STALE_TYPES and job.sent == 1 and not job.unsure:
         if job.phase is Phase.SUBMIT:
             return Event.STALE
@@ -248,7 +248,7 @@
 
 
 def _may_rerun(job, outcome):
-    if outcome.for_ids or outcome.type in _ENDED_TYPES:
+    if outcome.type in _ENDED_TYPES:
         return False
     return job.idempotent and not job.reran
 
@@ -319,8 +319,6 @@
     """
     _count(job, outcome)
     event = _event(job, outcome)
-    if outcome.verdict is not Verdict.NOT_RUN and event is not Event.STALE:
-        job.unsure = True
     rule = _RULES[job.phase][event]
     if rule.step is Step.RETURN:
         return Action(Step.RETURN, result=outcome.result)
@@ -366,7 +364,7 @@
     # The only copy of a stale submission was answered without starting it.
     if event is not Event.STALE:
         verdict = _worse(verdict, outcome.verdict)
-    if job.unsure and outcome.type in _UNSEALED_TYPES:
+    if job.unsure and not outcome.binding:
         verdict = _worse(verdict, Verdict.MAY_HAVE_RUN)
     return _errors.make_error(
         outcome.type, outcome.detail, verdict, '', outcome.retry_after_s
--- a/azurepier/client/_supply.py
+++ b/azurepier/client/_supply.py
@@ -31,6 +31,10 @@
         """Avoid an entry for `SUSPECT_S`."""
         self._suspect_until[url] = now + SUSPECT_S
 
+    def clear(self, url):
+        """Use an entry again."""
+        self._suspect_until.pop(url, None)
+
     def pick(self, now, avoid=None):
         """Return the next entry, if possible neither suspect nor `avoid`."""
         count = len(self.urls)
@@ -92,10 +96,12 @@
             usable_until = min(usable_until, old.usable_until)
         self._blocks[url] = _Block(ids, now, usable_until)
 
-    def discard(self, url):
-        """Forget an entry's ids: their owner is out of reach.
+    def clear(self):
+        """Forget all ids, because the owner of some is out of reach.
 
-        An id that was never sent costs nothing, while a submission under
-        it would make another entry look for work of a lost owner.
+        An entry issues ids of other entries too, so the failure of one
+        request does not tell which ids are affected. An id that was never
+        sent costs nothing, while a submission under it would make another
+        entry look for the work of a lost owner.
         """
-        self._blocks.pop(url, None)
+        self._blocks.clear()
--- a/azurepier/client/_transport.py
+++ b/azurepier/client/_transport.py
@@ -76,7 +76,7 @@
         _drop(conn)
 
 
-async def exchange(pools, method, url, headers, body, limit_s):
+async def exchange(pools, method, url, headers, body, limit_s, began=None):
     """Send one request and return its `Answer`.
 
     Parameters
@@ -89,6 +89,8 @@
         Empty for a request without a body.
     limit_s : float
         For the whole exchange.
+    began : callable, optional
+        Called with the `asyncio.Timeout` of the wait for the answer.
 
     Raises
     ------
@@ -108,11 +110,13 @@
     if body:
         request.content = Content(_JSON, body)
     try:
-        async with asyncio.timeout_at(end):
+        async with asyncio.timeout_at(end) as timeout:
+            if began is not None:
+                began(timeout)
             return await _answer(conn, request)
     except TimeoutError as exc:
         _drop(conn)
-        detail = f'{url}: no answer within {limit_s:.1f} s'
+        detail = f'{url}: no answer in time'
         raise NoContactError(_Kind.SILENT, detail) from exc
     except asyncio.CancelledError:
         _drop(conn)
@@ -161,6 +165,9 @@
         detail=str(value.get('detail', '')),
         verdict=kernel.Verdict(value['verdict']),
         retry_after_s=None if retry_ms is None else retry_ms / _MS_PER_S,
+        # What an entry refuses before it looks at the id names no id, and
+        # an id that the owner did not know may become known.
+        binding='id' in value and type_ != 'unknown-job',
     )
 
 
--- a/azurepier/client/tests/fakes.py
+++ b/azurepier/client/tests/fakes.py
@@ -29,12 +29,14 @@
 class FakeEntry:
     """Answers submissions in turn from `script`, then with `complete(1)`.
 
-    `seen` holds (method, job id, body) of all requests but those for ids.
+    `seen` holds (method, job id, body) of all requests about jobs. A frozen
+    entry accepts connections and answers nothing.
     """
 
     script: list = attrs.field(factory=list)
     seen: list = attrs.field(factory=list)
     id_requests: int = 0
+    frozen: bool = False
     server: object = None
 
     async def start(self):
@@ -81,6 +83,10 @@
         return True
 
     def _answer(self, method, path, body):
+        if self.frozen:
+            return SILENCE
+        if path == '/healthz':
+            return 200, 'ok'
         if path == '/v1/job-ids':
             count, base = json.loads(body)['count'], self.id_requests * 10_000
             self.id_requests += 1
--- a/azurepier/client/tests/test_client.py
+++ b/azurepier/client/tests/test_client.py
@@ -80,6 +80,19 @@
 
         _run([[fakes.SILENCE]], use)
 
+    def test_frozen_entry_is_noticed_long_before_the_deadline(self):
+        # Guards against jobs that wait for half of their deadline, and
+        # against an entry that keeps its connections and gets more jobs.
+        async def use(cli, entries):
+            await cli.submit(_TASK)
+            entries[0].frozen = True
+            results = await asyncio.gather(
+                *(cli.submit(_TASK, deadline_s=3600) for _ in range(2))
+            )
+            assert sorted(r.submissions for r in results) == [1, 2]
+
+        _run([[], []], use)
+
     def test_entry_that_is_gone_costs_no_submission(self):
         # Guards against ids whose owner is gone: another entry would have
         # to look for work that was never sent.
--- a/azurepier/client/tests/test_decisions.py
+++ b/azurepier/client/tests/test_decisions.py
@@ -13,26 +13,20 @@
 Step = _decisions.Step
 Verdict = kernel.Verdict
 _SHARE, _ALLOWANCE = 0.1, 3.0
-# Answers that say nothing about another copy of the same submission.
-_ABOUT_ONE_COPY = (
+# One or two of each group that the client tells apart.
+_TYPES = (
     'unknown-job',
     'not-ready',
     'unauthorized',
-    'forbidden',
-    'unknown-customer',
-)
-
-
-# One or two of each group that the client tells apart.
-_TYPES = [
-    *_ABOUT_ONE_COPY,
     'overloaded',
     'draining',
     'expired',
     'owner-lost',
+    'owner-unreachable',
     'cancelled',
     'task-failed',
-]
+)
+_STALE = ('expired', 'unknown-job', 'owner-unreachable')
 
 
 class TestTable:
@@ -144,14 +138,15 @@
         type_=strategies.sampled_from(_TYPES),
         verdict=strategies.sampled_from(list(Verdict)),
         retry=strategies.sampled_from([None, 0.0, 0.3, 50.0]),
+        binding=strategies.booleans(),
     )
-    def refusal(self, type_, verdict, retry):
+    def refusal(self, type_, verdict, retry, binding):
         first = self.step is Step.NEW_ID
         self._count_put()
         if verdict is Verdict.NOT_RUN:
-            if type_ not in _ABOUT_ONE_COPY:
+            if binding:
                 self.fate = 'clean'
-        elif not (first and type_ in ('expired', 'unknown-job')):
+        elif not (first and type_ in _STALE):
             self.fate = 'exposed'
         self._decide(
             _decisions.Outcome(
@@ -159,23 +154,24 @@
                 type=type_,
                 verdict=verdict,
                 retry_after_s=retry,
+                binding=binding,
             )
         )
 
     @stateful.precondition(lambda self: self.job)
     @stateful.rule()
     def lost(self):
-        self.refusal('owner-lost', Verdict.MAY_HAVE_RUN, None)
+        self.refusal('owner-lost', Verdict.MAY_HAVE_RUN, None, True)
 
     @stateful.precondition(lambda self: self.job)
-    @stateful.rule(type_=strategies.sampled_from(_ABOUT_ONE_COPY))
+    @stateful.rule(type_=strategies.sampled_from(_TYPES))
     def one_copy_is_refused(self, type_):
-        self.refusal(type_, Verdict.NOT_RUN, None)
+        self.refusal(type_, Verdict.NOT_RUN, None, False)
 
     @stateful.precondition(lambda self: self.job and self.step is Step.NEW_ID)
     @stateful.rule(
         kind=strategies.sampled_from([Kind.REFUSED, Kind.SILENT]),
-        type_=strategies.sampled_from(['draining', 'not-ready', 'forbidden']),
+        type_=strategies.sampled_from(['draining', 'owner-lost', 'forbidden']),
     )
     def no_id(self, kind, type_):
         self._decide(_decisions.Outcome(kind, type=type_, for_ids=True))
