Filter the endpoints once per pass and kind of task

Cause: every start looked at every endpoint again, 11 checks a start in the profile of the leading entry. The filtered list is kept until an endpoint runs out of slots or credits.

--- a/azurepier/entry/_dispatch.py
+++ b/azurepier/entry/_dispatch.py
@@ -57,6 +57,7 @@
     spare: int
     held: int = 0
     out: list = attrs.field(factory=list)
+    able: dict = attrs.field(factory=dict)  # endpoints by what a task needs
 
 
 def dispatch(node, now):
@@ -164,10 +165,31 @@
     work_s = waiting.work[task]
     _sending.start(node, view, job, task, work_s, work_s > LONG_LIMIT_S, now)
     run.out.append(effects.Record('start', job.id, task, view.name))
+    _use_slot(run, view)
+    return Placed.STARTED
+
+
+def _use_slot(run, view):
+    """Update what is ready after a start on an endpoint."""
     run.spare -= view.history.speed >= run.fast
     if view.free <= 0 or view.history.breaker.probing:
         run.ready.remove(view)
-    return Placed.STARTED
+        run.able.clear()
+    elif view.credit <= 0 or view.long_free <= 0 or run.spare <= 0:
+        run.able.clear()
+
+
+def _able(run, spec, urgent, long_running):
+    """Return the endpoints that may take a task now, the fastest first."""
+    key = (spec.kind, spec.size, urgent, long_running)
+    able = run.able.get(key)
+    if able is None:
+        able = run.able[key] = [
+            view
+            for view in run.ready
+            if _can_run(run, view, spec, urgent, long_running)
+        ]
+    return able
 
 
 def _choose(run, waiting, job):
@@ -181,21 +203,12 @@
     tuple of (int, EndpointView) or None
         Index in `waiting.tasks` and the endpoint.
     """
-    able = previous = None
     count = len(waiting.tasks)
     for skipped in range(min(count, SKIPPED_MAX)):
         task = waiting.tasks[-1 - skipped]
         spec = job.spec.tasks[task]
         work_s = waiting.work[task]
-        long_running = work_s > LONG_LIMIT_S
-        wanted = (spec.kind, spec.size, long_running)
-        if wanted != previous:
-            previous = wanted
-            able = [
-                view
-                for view in run.ready
-                if _can_run(run, view, spec, waiting.urgent, long_running)
-            ]
+        able = _able(run, spec, waiting.urgent, work_s > LONG_LIMIT_S)
         if not able:
             continue
         need = placement.Need(work_s, run.plan)
--- a/azurepier/entry/_state.py
+++ b/azurepier/entry/_state.py
@@ -112,7 +112,7 @@
     @property
     def credit_share(self):
         """Credit relative to the endpoint's size."""
-        return self.credit / self.slots
+        return (self.granted - self.sent) / self.slots
 
 
 @attrs.define(eq=False)
--- a/azurepier/placement/_policies.py
+++ b/azurepier/placement/_policies.py
@@ -35,18 +35,26 @@
     plan: object
 
 
+def _emptiest(ready):
+    """Return the emptiest of the endpoints as fast as the fastest."""
+    best = ready[0]
+    most = best.credit_share
+    limit = best.speed / EQUAL_SPEED
+    for view in ready[1:]:
+        if view.speed < limit:
+            break
+        share = view.credit_share
+        if share > most:
+            best, most = view, share
+    return best
+
+
 @registry.register('placement', 'expected_completion')
 def expected_completion(rng):
     """Return the policy that minimises the expected time of completion."""
 
     def choose(ready, need):
-        best = ready[0]
-        limit = best.speed / EQUAL_SPEED
-        for view in ready[1:]:
-            if view.speed < limit:
-                break
-            if view.credit_share > best.credit_share:
-                best = view
+        best = _emptiest(ready)
         run_s = need.work_s / best.speed
         end_s, other = need.plan.earliest(
             need.work_s, best.speed * EQUAL_SPEED
