--- a/azurepier/web/_parse.py
+++ b/azurepier/web/_parse.py
@@ -188,11 +188,15 @@
 
 
 def _digest(value, tasks, urgent, idempotent):
-    head = [value['customer'], value['deadline_ms'], urgent, idempotent]
-    head += [[task.kind, task.duration_ms, task.size] for task in tasks]
-    # Compact JSON holds no line feed, so the parts can't run together.
-    parts = [_encode(head).encode(), *(task.payload for task in tasks)]
-    return hashlib.sha256(b'\n'.join(parts)).hexdigest()
+    # Names are printable and compact JSON has no raw line feed, so neither
+    # the fields nor the parts can run together.
+    parts = [
+        f'{value["customer"]}\t{value["deadline_ms"]}\t{urgent}\t{idempotent}'
+    ]
+    parts += [f'{t.kind}\t{t.duration_ms}\t{t.size}' for t in tasks]
+    head = '\n'.join(parts).encode()
+    content = b'\n'.join([head, *(t.payload for t in tasks)])
+    return hashlib.sha256(content).hexdigest()
 
 
 def parse_job(body):
