Refuse long work early in an overload too

Cause: after a crest 35 to 44 of 88 slots ran tasks of several seconds and more. Jobs with deadlines above 60 s were always accepted, and those are the jobs with the longest tasks, so the crest's long work ran on after it.

Change: only jobs with more than five minutes count as batches, an overload starts at a wait of 1.5 s, and what a customer was accepted for is corrected by what its tasks took.

--- a/azurepier/entry/_outcomes.py
+++ b/azurepier/entry/_outcomes.py
@@ -126,6 +126,7 @@
         outcome.run_ms / 1000,
     )
     history.speed = placement.estimates.speed_of(history.log_speed)
+    _correct_accepted(node, task_start, outcome, now)
     placement.breaker.succeeded(
         history.breaker, node.kind_failures, task_start.spec.kind
     )
@@ -134,6 +135,15 @@
     )
 
 
+def _correct_accepted(node, task_start, outcome, now):
+    """Count what a task took instead of what it was expected to take."""
+    accepted = node.accepted.get(task_start.job.spec.customer)
+    if accepted is not None:
+        took_s = outcome.run_ms / 1000 * task_start.endpoint.history.speed
+        excess_s = took_s - task_start.work_s
+        queueing.admission.note_accepted(accepted, excess_s, now)
+
+
 def _on_failed(node, task_start, outcome, now):
     job = task_start.job
     out = _note_failure(node, task_start, now)
--- a/azurepier/queueing/_admission.py
+++ b/azurepier/queueing/_admission.py
@@ -10,11 +10,11 @@
 # it has; the rest allows for the error of the estimate.
 DEADLINE_SHARE = 0.9
 # Wait that starts an overload, and wait at which it is over.
-OVERLOADED_S = 2.5
+OVERLOADED_S = 1.5
 RELIEVED_S = 0.2
 # Jobs with more time are batches: they may wait for long, and smaller jobs
 # pass them.
-INTERACTIVE_S = 60.0
+INTERACTIVE_S = 300.0
 # Waiting work that each customer may have in an overload, in seconds of its
 # share of the capacity.
 OVERLOAD_QUEUE_S = 0.3
