Let the fake entry close its connections when it stops

A stopped entry went on to answer on connections that were open, so the test of an entry that is gone saw a refused connection only in part of its requests. It now checks that no id taken before the failure is used after it, which fails if the ids of the other entry are kept.

--- a/azurepier/client/tests/fakes.py
+++ b/azurepier/client/tests/fakes.py
@@ -9,6 +9,7 @@
 CLOSE = 'close'
 SILENCE = 'silence'
 GARBAGE = 'garbage'
+IDS_PER_REQUEST = 10_000
 
 
 def complete(*outputs):
@@ -38,6 +39,7 @@
     id_requests: int = 0
     frozen: bool = False
     server: object = None
+    writers: list = attrs.field(factory=list)
 
     async def start(self):
         self.server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
@@ -45,6 +47,10 @@
 
     async def stop(self):
         self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+        # The client's side learns of it in the next iterations of the loop.
+        await asyncio.sleep(0.01)
 
     @property
     def url(self):
@@ -52,6 +58,7 @@
         return f'http://{host}:{port}'
 
     async def _serve(self, reader, writer):
+        self.writers.append(writer)
         try:
             while await self._one(reader, writer):
                 pass
@@ -88,10 +95,11 @@
         if path == '/healthz':
             return 200, 'ok'
         if path == '/v1/job-ids':
-            count, base = json.loads(body)['count'], self.id_requests * 10_000
+            base = self.id_requests * IDS_PER_REQUEST
             self.id_requests += 1
             port = self.url.rpartition(':')[2]
-            ids = [f'{port}-{base + i}' for i in range(count)]
+            numbers = range(base, base + json.loads(body)['count'])
+            ids = [f'{port}-{number}' for number in numbers]
             return 200, {'ids': ids, 'expires_in_s': 600}
         job_id = path.split('?')[0].rpartition('/')[2]
         self.seen.append((method, job_id, body))
--- a/azurepier/client/tests/test_client.py
+++ b/azurepier/client/tests/test_client.py
@@ -1,6 +1,8 @@
 """Tests of both clients against entries that fail as told."""
 
 import asyncio
+import contextlib
+import functools
 import json
 import random
 
@@ -14,35 +16,35 @@
 _TASK = [client.Task('echo', 1)]
 
 
-def _run(scripts, use, **options):
-    """Start an entry per script, and run `use(client, entries)`."""
+def _asynchronous(function):
+    @functools.wraps(function)
+    def test(self, **params):
+        asyncio.run(function(self, **params))
+
+    return test
 
-    async def main():
-        entries = [await fakes.FakeEntry(s).start() for s in scripts]
-        options.setdefault('rng', random.Random(1))
-        async with client.AsyncClient(
-            [entry.url for entry in entries], 'ash', 'tok', **options
-        ) as cli:
-            await use(cli, entries)
-        for entry in entries:
-            await entry.stop()
 
-    asyncio.run(main())
+@contextlib.asynccontextmanager
+async def _fleet(*scripts, **options):
+    """Start an entry per script; yield a client and the entries."""
+    entries = [await fakes.FakeEntry(script).start() for script in scripts]
+    urls = [entry.url for entry in entries]
+    options.setdefault('rng', random.Random(1))
+    async with client.AsyncClient(urls, 'ash', 'tok', **options) as cli:
+        yield cli, entries
+    for entry in entries:
+        await entry.stop()
 
 
 def _puts(entries):
-    return [
-        request[1:]
-        for entry in entries
-        for request in entry.seen
-        if request[0] == 'PUT'
-    ]
+    return [seen[1:] for e in entries for seen in e.seen if seen[0] == 'PUT']
 
 
 class TestSubmit:
-    def test_one_request_per_job_once_ids_are_there(self):
+    @_asynchronous
+    async def test_one_request_per_job_once_ids_are_there(self):
         # Guards against a round trip for an id before each job.
-        async def use(cli, entries):
+        async with _fleet([]) as (cli, entries):
             for _ in range(30):
                 result = await cli.submit(_TASK, urgent=True)
                 assert result.outputs == [1]
@@ -58,32 +60,29 @@
                 'tasks': [{'kind': 'echo', 'payload': 1}],
             }
 
-        _run([[]], use)
-
     @pytest.mark.parametrize('end', [fakes.CLOSE, fakes.GARBAGE])
-    def test_broken_request_is_repeated_elsewhere(self, end):
+    @_asynchronous
+    async def test_broken_request_is_repeated_elsewhere(self, end):
         # Guards against a second id, under which the job could run twice.
-        async def use(cli, entries):
+        async with _fleet([end], []) as (cli, entries):
             result = await cli.submit(_TASK)
             assert result.submissions == 2
             assert [len(_puts([entry])) for entry in entries] == [1, 1]
             first, second = _puts(entries)
             assert first == second
 
-        _run([[end], []], use)
-
-    def test_silent_entry_is_left_within_the_deadline(self):
-        async def use(cli, entries):
+    @_asynchronous
+    async def test_silent_entry_is_left_within_the_deadline(self):
+        async with _fleet([fakes.SILENCE]) as (cli, entries):
             result = await cli.submit(_TASK, deadline_s=1.2)
             assert result.submissions == 2
             assert len(set(_puts(entries))) == 1
 
-        _run([[fakes.SILENCE]], use)
-
-    def test_frozen_entry_is_noticed_long_before_the_deadline(self):
+    @_asynchronous
+    async def test_frozen_entry_is_noticed_long_before_the_deadline(self):
         # Guards against jobs that wait for half of their deadline, and
         # against an entry that keeps its connections and gets more jobs.
-        async def use(cli, entries):
+        async with _fleet([], []) as (cli, entries):
             await cli.submit(_TASK)
             entries[0].frozen = True
             results = await asyncio.gather(
@@ -91,47 +90,47 @@
             )
             assert sorted(r.submissions for r in results) == [1, 2]
 
-        _run([[], []], use)
-
-    def test_entry_that_is_gone_costs_no_submission(self):
+    @_asynchronous
+    async def test_entry_that_is_gone_costs_no_submission(self):
         # Guards against ids whose owner is gone: another entry would have
         # to look for work that was never sent.
-        async def use(cli, entries):
-            await cli.submit(_TASK)
-            await cli.submit(_TASK)
-            await entries[0].stop()
-            for _ in range(6):
+        # Entries issue ids of other owners too, so all are dropped.
+        async with _fleet([], [], retry_share=0.0) as (cli, entries):
+            for number in range(8):
+                if number == 2:
+                    await entries[0].stop()
                 result = await cli.submit(_TASK)
                 assert result.submissions == 1
             port = entries[1].url.rpartition(':')[2]
-            assert all(put[0].startswith(port) for put in _puts(entries[1:]))
-
-        _run([[fakes.complete(1)], []], use, retry_share=0.0)
+            used = [job_id for job_id, _ in _puts(entries[1:])]
+            first = fakes.IDS_PER_REQUEST
+            assert used[1:] == [f'{port}-{first + i}' for i in range(6)]
 
-    def test_retry_after_is_honoured_under_a_new_id(self):
+    @_asynchronous
+    async def test_retry_after_is_honoured_under_a_new_id(self):
         # Guards against a client that comes back early, or under an id
         # that the owner keeps refusing.
-        async def use(cli, entries):
-            loop = asyncio.get_running_loop()
-            begin = loop.time()
+        script = [fakes.refused('overloaded', retry_after_ms=150)]
+        async with _fleet(script) as (cli, entries):
+            begin = asyncio.get_running_loop().time()
             await cli.submit(_TASK)
-            assert loop.time() - begin >= 0.15
+            assert asyncio.get_running_loop().time() - begin >= 0.15
             assert len({job_id for job_id, _ in _puts(entries)}) == 2
 
-        _run([[fakes.refused('overloaded', retry_after_ms=150)]], use)
-
-    def test_overload_beyond_the_deadline_is_raised_at_once(self):
-        async def use(cli, entries):
+    @_asynchronous
+    async def test_overload_beyond_the_deadline_is_raised_at_once(self):
+        script = [fakes.refused('overloaded', retry_after_ms=9000)]
+        async with _fleet(script) as (cli, entries):
             with pytest.raises(client.OverloadedError) as info:
                 await cli.submit(_TASK, deadline_s=5)
             assert info.value.verdict is kernel.Verdict.NOT_RUN
             assert info.value.retry_after_s == 9.0
 
-        _run([[fakes.refused('overloaded', retry_after_ms=9000)]], use)
-
     @pytest.mark.parametrize('idempotent', [True, False])
-    def test_only_an_idempotent_job_is_run_again(self, idempotent):
-        async def use(cli, entries):
+    @_asynchronous
+    async def test_only_an_idempotent_job_is_run_again(self, idempotent):
+        script = [fakes.refused('task-lost', 'may_have_run')]
+        async with _fleet(script) as (cli, entries):
             if idempotent:
                 await cli.submit(_TASK, idempotent=True)
             else:
@@ -139,40 +138,35 @@
                     await cli.submit(_TASK)
             assert len(_puts(entries)) == 1 + idempotent
 
-        _run([[fakes.refused('task-lost', 'may_have_run')]], use)
-
-    def test_answer_is_fetched_when_the_budget_is_spent(self):
+    @_asynchronous
+    async def test_answer_is_fetched_when_the_budget_is_spent(self):
         # Guards against resubmissions beyond the budget, and against a
         # lost answer because of it.
-        async def use(cli, entries):
+        script = [fakes.CLOSE, fakes.complete(1)] * 5
+        async with _fleet(script, retry_share=0.0) as (cli, entries):
             for _ in range(5):
                 assert (await cli.submit(_TASK)).outputs == [1]
             assert len(_puts(entries)) == 5 + 3
             assert [r[0] for r in entries[0].seen].count('GET') == 2
 
-        script = [fakes.CLOSE, fakes.complete(1)] * 5
-        _run([script], use, retry_share=0.0)
-
-    def test_partial_answer_is_not_a_result(self):
-        async def use(cli, entries):
+    @_asynchronous
+    async def test_partial_answer_is_not_a_result(self):
+        async with _fleet([fakes.complete(1)] * 99) as (cli, entries):
             with pytest.raises(client.MayHaveRunError):
                 await cli.submit(_TASK * 2, deadline_s=0.3)
 
-        _run([[fakes.complete(1)] * 99], use)
-
     @pytest.mark.parametrize(
         ('tasks', 'deadline_s'),
         [([], 1), (_TASK * 141, 1), (_TASK, 0), (_TASK, 3601)]
         + [([client.Task('k', value)], 1) for value in (float('nan'), {1})],
     )
-    def test_wrong_arguments_are_not_sent(self, tasks, deadline_s):
-        async def use(cli, entries):
+    @_asynchronous
+    async def test_wrong_arguments_are_not_sent(self, tasks, deadline_s):
+        async with _fleet([]) as (cli, entries):
             with pytest.raises(kernel.InvalidInputError):
                 await cli.submit(tasks, deadline_s=deadline_s)
             assert not entries[0].seen
 
-        _run([[]], use)
-
 
 class TestBlockingClient:
     def test_submits_from_several_threads(self):
--- a/azurepier/web/tests/fakes.py
+++ b/azurepier/web/tests/fakes.py
@@ -28,14 +28,13 @@
     )
 
 
-@attrs.define
-class FakeNode:
-    """The parts of an entry's state that the web reads."""
-
-    adoption: config.Adoption
-    draining: bool = False
-    incarnation: str = '00000000000000aa'
-    options: object = types.SimpleNamespace(name='entry-1')
+def _make_node():
+    return types.SimpleNamespace(
+        adoption=config.Adoption(make_config()),
+        draining=False,
+        incarnation='00000000000000aa',
+        options=types.SimpleNamespace(name='entry-1'),
+    )
 
 
 @attrs.define
@@ -43,12 +42,8 @@
     """Answers each event with `answer(event)`, or never if that is None."""
 
     answer: object
-    node: FakeNode = attrs.field(
-        factory=lambda: FakeNode(config.Adoption(make_config()))
-    )
-    ring: timeline.Ring = attrs.field(
-        factory=lambda: timeline.Ring(10, 'entry-1', 'aa', lambda: 5.0)
-    )
+    node: object = attrs.field(factory=_make_node)
+    ring: object = attrs.field(factory=lambda: timeline.Ring(10, 'entry-1'))
     events: list = attrs.field(factory=list)
     keys: object = tuple
     stops: int = 0
