Connect endpoints to the leader and spread their reads of the platform

Found by measuring slopes: with 9 entries the leader reached 12 of 16 endpoints, because each endpoint chose its six entries without regard to it; a failure domain that restarts would read the platform 1,546 times at once; a difference between configurations was computed for each request (0.65 ms); a retained answer took 4,616 bytes and was counted as 1,040.

The member list names the leader, first reads are spread over 2 s, encoded differences are kept until the next version, and the overhead of a retained answer is counted as measured.

--- a/azurepier/endpoint/_node.py
+++ b/azurepier/endpoint/_node.py
@@ -22,6 +22,8 @@
 # With no entry connected for this long, the platform is asked for the list.
 ENTRY_MISSING_S = 2.0
 PLATFORM_BACKOFF_S = 1.0
+# Spreads the first reads of a failure domain that starts as a whole.
+FIRST_READ_SPREAD_S = 2.0
 PLATFORM_BACKOFF_MAX_S = 30.0
 
 Status = kernel.Status
@@ -47,7 +49,8 @@
         no_entry_since=now,
     )
     node.timers.set(HEARTBEAT, now)
-    node.timers.set('platform', now)
+    first_read_at = now + rng.uniform(0.0, FIRST_READ_SPREAD_S)
+    node.timers.set('platform', first_read_at)
     return node
 
 
@@ -290,6 +293,7 @@
 def _on_members(node, link, msg, now):
     link.members = tuple(info.name for info in msg.entries)
     link.members_version = msg.version
+    node.directory.leader = msg.leader
     for info in msg.entries:
         membership.learn(node.directory, info, now)
     return []
--- a/azurepier/entry/_endpoints.py
+++ b/azurepier/entry/_endpoints.py
@@ -213,5 +213,7 @@
         if info.name != opt.name
     ]
     return messages.Members(
-        version=node.directory.version, entries=[own, *others]
+        version=node.directory.version,
+        entries=[own, *others],
+        leader=node.leader,
     )
--- a/azurepier/entry/_node.py
+++ b/azurepier/entry/_node.py
@@ -263,7 +263,12 @@
 
 def _heartbeats(node, now):
     version = exchange.version_in_force(node.adoption)
-    node.leads = _leader.find(node, now) is None
+    leader = _leader.find(node, now)
+    node.leads = leader is None
+    name = node.options.name if node.leads else leader.name
+    if name != node.leader:
+        node.leader = name
+        node.directory.version += 1
     rank = _leader.rank(node, now)
     out = []
     for view in node.by_conn.values():
--- a/azurepier/entry/_state.py
+++ b/azurepier/entry/_state.py
@@ -197,6 +197,7 @@
     )
     next_query: int = 1
     leads: bool = False
+    leader: str = ''
     dirty: bool = False
     draining: bool = False
     stopped: bool = False
--- a/azurepier/exchange/_exchange.py
+++ b/azurepier/exchange/_exchange.py
@@ -25,6 +25,7 @@
     recent: dict = attrs.field(factory=dict)
     asked_at: float | None = None
     whole: bool = False
+    bodies: dict = attrs.field(factory=dict)  # base version -> encoded body
 
 
 def version_in_force(adoption):
@@ -38,6 +39,7 @@
     if current is None:
         return
     exchange.recent[current.version] = current
+    exchange.bodies.clear()
     while len(exchange.recent) > RECENT_MAX:
         del exchange.recent[min(exchange.recent)]
 
@@ -61,10 +63,10 @@
     if current is None or current.version <= msg.have:
         return []
     base = exchange.recent.get(msg.have)
-    if base is None:
-        body = config.to_json(current)
-    else:
-        body = config.make_delta(base, current)
+    body = exchange.bodies.get(base.version if base else 0)
+    if body is None:
+        body = _encode(base, current)
+        exchange.bodies[base.version if base else 0] = body
     update = messages.ConfigUpdate(
         version=current.version,
         base=base.version if base else 0,
@@ -73,6 +75,12 @@
     return [effects.Send(conn, update)]
 
 
+def _encode(base, current):
+    if base is None:
+        return config.to_json(current)
+    return config.make_delta(base, current)
+
+
 def on_update(exchange, adoption, msg):
     """Take over a configuration from a peer.
 
--- a/azurepier/jobs/_table.py
+++ b/azurepier/jobs/_table.py
@@ -14,7 +14,9 @@
 BYTES_MAX = 64 * 1024 * 1024
 # Records of used ids whose answers are gone, about 100 bytes each.
 TOMBSTONES_MAX = 300_000
-JOB_OVERHEAD_BYTES = 600
+# Measured by benchmarks/bench_capacity.py for a retained answer.
+JOB_OVERHEAD_BYTES = 2600
+OUTPUT_OVERHEAD_BYTES = 100
 _TOMBSTONE_BUCKET_S = 60
 
 
@@ -116,8 +118,8 @@
     job.outputs[task] = output
     job.left -= 1
     job.output_bytes += len(output)
-    job.bytes += len(output)
-    table.bytes += len(output)
+    job.bytes += len(output) + OUTPUT_OVERHEAD_BYTES
+    table.bytes += len(output) + OUTPUT_OVERHEAD_BYTES
 
 
 def end(table, job, answer, now):
@@ -126,7 +128,9 @@
     job.ended_at = now
     kept = JOB_OVERHEAD_BYTES
     if isinstance(answer, kernel.Complete):
-        kept += sum(len(output) for output in answer.outputs)
+        kept += sum(
+            len(output) + OUTPUT_OVERHEAD_BYTES for output in answer.outputs
+        )
     table.bytes += kept - job.bytes
     job.bytes = kept
     job.spec = attrs.evolve(job.spec, tasks=())
--- a/azurepier/membership/_directory.py
+++ b/azurepier/membership/_directory.py
@@ -36,6 +36,7 @@
 
     seeds: tuple
     version: int = 1
+    leader: str = ''
     known: dict = attrs.field(factory=dict)
     attempts: dict = attrs.field(factory=dict)
 
@@ -101,17 +102,20 @@
 
     Notes
     -----
-    Entries of the own failure domain fill at most half of the places, so
-    that the loss of the domain's entries leaves others connected.
+    The leader is always among them, because it dispatches new jobs. Entries
+    of the own failure domain fill at most half of the places, so that the
+    loss of the domain's entries leaves others connected.
     """
     live = [i for i in entries(directory) if not i.draining]
     if len(live) <= size:
         return live
     by_name = {info.name: info for info in live}
     order = _rendezvous.ranked(key, by_name)
-    near = [n for n in order if by_name[n].domain == domain][: size // 2]
-    rest = [n for n in order if n not in near][: size - len(near)]
-    return [by_name[name] for name in near + rest]
+    chosen = [directory.leader] if directory.leader in by_name else []
+    near = [n for n in order if by_name[n].domain == domain]
+    chosen += [n for n in near[: size // 2] if n not in chosen]
+    chosen += [n for n in order if n not in chosen][: size - len(chosen)]
+    return [by_name[name] for name in chosen]
 
 
 def due_dials(directory, wanted, connected, now, rng):
--- a/azurepier/wire/gen/messages/ttypes.py
+++ b/azurepier/wire/gen/messages/ttypes.py
@@ -649,18 +649,21 @@
     Attributes:
      - version
      - entries
+     - leader
 
     """
 
     __slots__ = (
         'version',
         'entries',
+        'leader',
     )
 
 
-    def __init__(self, version=None, entries=None,):
+    def __init__(self, version=None, entries=None, leader=None,):
         self.version = version
         self.entries = entries
+        self.leader = leader
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -687,6 +690,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.leader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -708,6 +716,10 @@
                 iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.leader is not None:
+            oprot.writeFieldBegin('leader', TType.STRING, 3)
+            oprot.writeString(self.leader.encode('utf-8') if sys.version_info[0] == 2 else self.leader)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2825,6 +2837,7 @@
     None,  # 0
     (1, TType.I64, 'version', None, None, ),  # 1
     (2, TType.LIST, 'entries', (TType.STRUCT, [EntryInfo, None], False), None, ),  # 2
+    (3, TType.STRING, 'leader', 'UTF8', None, ),  # 3
 )
 all_structs.append(ConfigUpdate)
 ConfigUpdate.thrift_spec = (
--- a/thrift/azurepier.thrift
+++ b/thrift/azurepier.thrift
@@ -53,6 +53,7 @@
 struct Members {
   1: i64 version
   2: list<EntryInfo> entries
+  3: string leader          // name of the entry that dispatches new jobs
 }
 
 /** A whole configuration (base == 0) or the difference from `base`. */
