Split the nodes into modules of one job each

Moved without a change in behaviour: the endpoint's tasks, drain and periodic work; the entry's acceptance of new jobs, recovery, quota messages and forwarded requests.

--- /dev/null
+++ b/azurepier/endpoint/_drain.py
@@ -0,0 +1,42 @@
+"""Graceful stop of an endpoint process."""
+
+from azurepier.kernel import effects
+from azurepier.kernel import messages
+
+# A drain waits this long for entries to confirm the last outcomes.
+ACK_WAIT_S = 3.0
+
+
+def on_drain(node, event, now):
+    if node.draining:
+        return []
+    node.draining = True
+    node.timers.set('acks', now + ACK_WAIT_S)
+    out = [
+        effects.Send(link.conn, messages.Leave(reason='drain'))
+        for link in node.by_conn.values()
+    ]
+    out.append(effects.Record('draining', endpoint=node.options.name))
+    return out + finish(node, now)
+
+
+def on_acks_timer(node, _, now):
+    if node.running:
+        node.timers.set('acks', now + ACK_WAIT_S)
+        return []
+    return stop(node)
+
+
+def finish(node, now):
+    if not node.draining or node.running:
+        return []
+    if any(link.unacked for link in node.by_conn.values()):
+        return []
+    return stop(node)
+
+
+def stop(node):
+    if node.stopped:
+        return []
+    node.stopped = True
+    return [effects.Stopped()]
--- /dev/null
+++ b/azurepier/endpoint/_tasks.py
@@ -0,0 +1,195 @@
+"""Starts, cancellations and outcomes of tasks; state of the worker."""
+
+from azurepier.endpoint import _credits
+from azurepier.endpoint import _drain
+from azurepier.endpoint import _retention
+from azurepier.endpoint import _state
+from azurepier import kernel
+from azurepier.kernel import effects
+from azurepier.kernel import events
+from azurepier.kernel import messages
+
+# A task is stopped this long after its deadline, in case the entry that
+# should have cancelled it is gone.
+LIMIT_GRACE_S = 1.0
+# After a connection to the worker failed, one is tried again.
+WORKER_RETRY_S = 1.0
+Status = kernel.Status
+
+
+def on_start_batch(node, link, msg, now):
+    acknowledge(link, msg.acked)
+    if msg.want >= 0:
+        link.wants = msg.want
+    out = []
+    refused = []
+    for start in msg.starts:
+        status = _admission(node, link, start, now)
+        if status is None:
+            out += _run(node, link, start, now)
+        else:
+            refused.append(_refusal(node, link, start, status))
+            out.append(
+                effects.Record(
+                    'refused',
+                    start.job_id,
+                    start.task,
+                    node.options.name,
+                    status.name.lower(),
+                )
+            )
+    told = _credits.distribute(node)
+    if refused:
+        told.discard(link.incarnation)
+        out.append(outcome_batch(node, link, refused, now))
+    return out + _credits.tell(node, told, now)
+
+
+def _admission(node, link, start, now):
+    """Return why a start is not run, or None if it may run."""
+    link.highest = max(link.highest, start.seq)
+    allowed = (
+        _credits.free_slots(node) > 0
+        if start.urgent
+        else _credits.admit_ordinary(node, link)
+    )
+    if node.draining:
+        return Status.LEAVING
+    if start.job_id in node.fenced:
+        return Status.FENCED
+    if not allowed:
+        return Status.REFUSED
+    if start.long_running and _credits.long_free(node, now) == 0:
+        return Status.REFUSED
+    if not _retention.note_started(node, start):
+        node.count('duplicate_starts')
+        return Status.LOST
+    return None
+
+
+def _run(node, link, start, now):
+    key = (link.incarnation, start.seq)
+    node.running[key] = _state.Running(start, link, now)
+    limit_s = start.limit_ms / 1000 + LIMIT_GRACE_S
+    node.timers.set(('limit', key), now + limit_s)
+    node.count('starts')
+    return [
+        effects.RunTask(key, start),
+        effects.Record(
+            'admitted', start.job_id, start.task, node.options.name
+        ),
+    ]
+
+
+def _refusal(node, link, start, status):
+    node.count('refusals')
+    outcome = messages.Outcome(
+        seq=start.seq, status=int(status), output=b'', run_ms=0
+    )
+    link.unacked[start.seq] = outcome
+    return outcome
+
+
+def outcome_batch(node, link, outcomes, now):
+    return effects.Send(
+        link.conn,
+        messages.OutcomeBatch(
+            outcomes=outcomes,
+            granted=link.granted,
+            free=_credits.free_slots(node),
+            long_free=_credits.long_free(node, now),
+            seen=link.highest,
+        ),
+    )
+
+
+def output_size(outcome):
+    return len(outcome.output)
+
+
+def acknowledge(link, acked):
+    for seq in acked:
+        link.unacked.pop(seq, None)
+
+
+def on_cancel(node, link, msg, now):
+    out = []
+    for seq in msg.seqs:
+        key = (link.incarnation, seq)
+        running = node.running.get(key)
+        if running is not None and not running.cancelled:
+            running.cancelled = True
+            out.append(effects.StopTask(key))
+    return out
+
+
+def on_task_ended(node, event, now):
+    running = node.running.pop(event.key, None)
+    if running is None:
+        return []
+    node.timers.cancel(('limit', event.key))
+    start, link = running.start, running.link
+    if event.status == Status.REFUSED:
+        return _worker_unreachable(node, link, start, now)
+    outcome = messages.Outcome(
+        seq=start.seq,
+        status=int(event.status),
+        output=event.output,
+        run_ms=event.run_ms,
+    )
+    link.unacked[start.seq] = outcome
+    _retention.note_ended(node, start, event.status, event.output, now)
+    told = _credits.distribute(node, link)
+    out = [
+        effects.Record(
+            'ended',
+            start.job_id,
+            start.task,
+            node.options.name,
+            Status(event.status).name.lower(),
+        )
+    ]
+    if link.conn is not None:
+        told.discard(link.incarnation)
+        out.insert(0, outcome_batch(node, link, [outcome], now))
+    return out + _credits.tell(node, told, now) + _drain.finish(node, now)
+
+
+def _worker_unreachable(node, link, start, now):
+    """Report a start as not run because the worker took no connection.
+
+    The endpoint counts as down until the worker is seen again; otherwise
+    the same task would come back at once.
+    """
+    _retention.forget_started(node, start)
+    node.healthy = False
+    node.timers.set('worker', now + WORKER_RETRY_S)
+    _credits.distribute(node)
+    out = []
+    refusal = _refusal(node, link, start, Status.REFUSED)
+    if link.conn is not None:
+        out.append(outcome_batch(node, link, [refusal], now))
+    return out + _credits.tell(node, set(node.links), now)
+
+
+def on_worker_timer(node, _, now):
+    return on_worker_seen(node, events.WorkerSeen(healthy=True), now)
+
+
+def on_worker_seen(node, event, now):
+    if event.healthy == node.healthy:
+        return []
+    node.healthy = event.healthy
+    node.timers.cancel('worker')
+    _credits.distribute(node)
+    state = 'worker_up' if event.healthy else 'worker_down'
+    out = [effects.Record(state, endpoint=node.options.name)]
+    return out + _credits.tell(node, set(node.links), now)
+
+
+def on_limit(node, key, now):
+    running = node.running.get(key)
+    if running is None or running.cancelled:
+        return []
+    running.cancelled = True
+    return [effects.StopTask(key)]
--- a/azurepier/entry/_callers.py
+++ b/azurepier/entry/_callers.py
@@ -1,7 +1,6 @@
 """Callers' requests: submission, waiting for answers, cancellation."""
 
-import attrs
-
+from azurepier.entry import _acceptance
 from azurepier.entry import _dispatch
 from azurepier.entry import _leader
 from azurepier.entry import _outcomes
@@ -11,23 +10,8 @@
 from azurepier import kernel
 from azurepier.kernel import effects
 from azurepier import limits
-from azurepier import placement
 from azurepier import queueing
 
-Verdict = kernel.Verdict
-
-# After its start an entry knows few endpoints; until then a job that none
-# of them can run waits.
-SETTLE_S = 5.0
-# Work that a customer may mark urgent beyond its plan's share, in seconds
-# of slot time, so that a few urgent jobs in a row are not demoted.
-URGENT_BURST_S = 20.0
-URGENT_HALF_LIFE_S = 10.0
-RETRY_SOON_S = 1.0
-OVERLOAD_RETRY_S = 2.0
-# Share of the nominal capacity that a busy fleet reaches.
-USABLE_SHARE = 0.9
-
 
 def on_new_ids(node, event, now):
     """Get a block of job ids from the entry that dispatches new jobs."""
@@ -41,7 +25,7 @@
 def issue_ids(node, waiter, count, now):
     """Issue a block of job ids that this entry owns."""
     if node.draining:
-        return [_outcomes.reply(waiter, _draining(node, ''))]
+        return [_outcomes.reply(waiter, _acceptance.draining(node, ''))]
     ids = jobs.table.issue(node.table, count, now)
     answer = kernel.Ids(ids, jobs.table.ID_VALIDITY_S)
     return [_outcomes.reply(waiter, answer)]
@@ -54,7 +38,7 @@
     if event.job_id is not None:
         return submit(node, waiter, event.job_id, spec, detach, 0, now)
     if node.draining:
-        return [_outcomes.reply(waiter, _draining(node, ''))]
+        return [_outcomes.reply(waiter, _acceptance.draining(node, ''))]
     leader = _leader.find(node, now)
     if leader is not None:
         return _peers.submit_to(node, waiter, leader, spec, detach, now)
@@ -64,7 +48,7 @@
 def submit_new(node, waiter, spec, detach, now):
     """Submit a job under a new id of this entry."""
     if node.draining:
-        return [_outcomes.reply(waiter, _draining(node, ''))]
+        return [_outcomes.reply(waiter, _acceptance.draining(node, ''))]
     job_id = jobs.table.issue(node.table, 1, now)[0]
     return submit(node, waiter, job_id, spec, detach, 0, now)
 
@@ -81,7 +65,7 @@
     job = node.table.jobs.get(job_id)
     if job is not None:
         return _join(node, waiter, job, spec, detach)
-    refusal = _check_id(node, parts, job_id, now) or _check_job(
+    refusal = _check_id(node, parts, job_id, now) or _acceptance.check_job(
         node, job_id, spec, now
     )
     if refusal is not None:
@@ -116,19 +100,11 @@
 
 
 def _unknown(job_id):
-    return kernel.Refused(
-        job_id, 'unknown-job', Verdict.NOT_RUN, 'this id was never issued'
-    )
-
-
-def _draining(node, job_id):
     return kernel.Refused(
         job_id,
-        'draining',
-        Verdict.NOT_RUN,
-        'this entry is shutting down',
-        RETRY_SOON_S,
-        _peers.other_web_address(node),
+        'unknown-job',
+        kernel.Verdict.NOT_RUN,
+        'this id was never issued',
     )
 
 
@@ -137,7 +113,7 @@
         refusal = kernel.Refused(
             job.id,
             'content-differs',
-            Verdict.NOT_RUN,
+            kernel.Verdict.NOT_RUN,
             'another job was submitted under this id',
         )
         return [_outcomes.reply(waiter, refusal)]
@@ -163,158 +139,27 @@
         return kernel.Refused(
             job_id,
             reason,
-            Verdict.NOT_RUN,
+            kernel.Verdict.NOT_RUN,
             'the job was refused under this id; submit it under a new one',
-            RETRY_SOON_S,
+            _acceptance.RETRY_SOON_S,
         )
     if reason is not None or jobs.table.is_expired(parts, now):
         return kernel.Refused(
             job_id,
             'expired',
-            Verdict.MAY_HAVE_RUN,
+            kernel.Verdict.MAY_HAVE_RUN,
             'the id has expired; an earlier submission may have run',
         )
     return None
 
 
-def _check_job(node, job_id, spec, now):
-    """Return why a new job is refused, or None."""
-    if node.draining:
-        return _draining(node, job_id)
-    cfg = node.adoption.current
-    customer = cfg.customers.get(spec.customer) if cfg else None
-    refuse = _refuser(job_id)
-    if cfg is None:
-        return refuse('not-ready', 'no configuration is known', RETRY_SOON_S)
-    if customer is None:
-        return refuse('unknown-customer', spec.customer)
-    plan = cfg.plans[customer.plan]
-    count = len(spec.tasks)
-    if count > plan.largest_job:
-        detail = f'{count} tasks; the plan allows {plan.largest_job}'
-        return refuse('job-too-large', detail)
-    if node.queued.get(spec.customer, 0) + count > max(plan.queue, count):
-        detail = f'the plan allows {plan.queue} waiting tasks'
-        return refuse('queue-full', detail, RETRY_SOON_S)
-    if jobs.table.is_full(node.table, jobs.table.spec_bytes(spec)):
-        return refuse('answers-full', 'memory is full', RETRY_SOON_S)
-    if not is_possible(node, spec) and now - node.started_at > SETTLE_S:
-        return refuse('impossible', 'no endpoint takes its kinds and sizes')
-    return _check_load(node, spec, plan, refuse, now)
-
-
-def _refuser(job_id):
-    def refuse(error, detail, retry_after_s=None):
-        return kernel.Refused(
-            job_id, error, Verdict.NOT_RUN, detail, retry_after_s
-        )
-
-    return refuse
-
-
-def is_possible(node, spec):
-    """Tell whether the known endpoints could run each task of a job."""
-    views = node.endpoints.values()
-    return all(
-        any(
-            (not view.kinds or kind in view.kinds)
-            and size <= view.largest_size
-            for view in views
-        )
-        for kind, size in {(task.kind, task.size) for task in spec.tasks}
-    )
-
-
-def _works(node, spec):
-    return [
-        placement.estimates.work_of(node.estimates, spec.customer, task)
-        for task in spec.tasks
-    ]
-
-
-def _rate(node):
-    """Return the work per second that this entry's jobs can expect."""
-    if node.waiting_tasks and node.throughput.rate:
-        return node.throughput.rate
-    capacity = sum(
-        view.slots * view.history.speed
-        for view in node.by_conn.values()
-        if view.ready and not view.leaving
-    )
-    return capacity * USABLE_SHARE
-
-
-def _accepted_rate(node, customer, now):
-    accepted = node.accepted.get(customer)
-    if accepted is None:
-        return 0.0
-    return queueing.admission.accepted_rate(accepted, now)
-
-
-def _check_load(node, spec, plan, refuse, now):
-    """Refuse what would miss its deadline or exceed its share."""
-    works = _works(node, spec)
-    ahead = node.queue.ahead(spec.customer, spec.urgent)
-    rate = _rate(node)
-    if rate <= 0 or ahead.all_s <= 0:
-        node.overload.active = False
-        return None
-    admission = queueing.admission
-    wait_s = admission.expected_wait(ahead, sum(works), plan.weight, rate)
-    left_s = spec.deadline_ms / 1000
-    accepted_rate = _accepted_rate(node, spec.customer, now)
-    overloaded = not spec.urgent and admission.is_overloaded(
-        node.overload, ahead.all_s / rate
-    )
-    if (
-        overloaded
-        and left_s <= admission.INTERACTIVE_S
-        and admission.exceeds_share(ahead, plan.weight, rate, accepted_rate)
-    ):
-        detail = 'the fleet is overloaded'
-        return refuse('overloaded', detail, OVERLOAD_RETRY_S)
-    if not admission.misses_deadline(wait_s, 0.0, left_s):
-        return None
-    retry_s = admission.retry_after(wait_s, left_s)
-    return refuse(
-        'overloaded', f'the expected wait is {wait_s:.1f} s', retry_s
-    )
-
-
-def _counts_as_urgent(node, spec, work_s, longest_s, now):
-    """Tell whether a job is treated as urgent under its plan."""
-    cfg = node.adoption.current
-    plan = cfg.plans[cfg.customers[spec.customer].plan]
-    use = node.urgent_use.setdefault(spec.customer, UrgentUse(now))
-    decay = 0.5 ** ((now - use.updated_at) / URGENT_HALF_LIFE_S)
-    use.urgent_s *= decay
-    use.total_s = use.total_s * decay + work_s
-    use.updated_at = now
-    allowed = plan.urgent_share * use.total_s + URGENT_BURST_S
-    if not spec.urgent or longest_s > _dispatch.LONG_LIMIT_S:
-        return False
-    if use.urgent_s + work_s > allowed:
-        node.count('urgent_demoted')
-        return False
-    use.urgent_s += work_s
-    _dispatch.note_urgent(node, work_s, now)
-    return True
-
-
-@attrs.define
-class UrgentUse:
-    """Decaying sums of a customer's urgent and total work (s)."""
-
-    updated_at: float
-    urgent_s: float = 0.0
-    total_s: float = 0.0
-
-
 def _accept(node, waiter, parts, job_id, spec, detach, now):
-    works = _works(node, spec)
+    works = _acceptance.works_of(node, spec)
     cfg = node.adoption.current
     plan = cfg.plans[cfg.customers[spec.customer].plan]
-    urgent = _counts_as_urgent(node, spec, sum(works), max(works), now)
+    urgent = _acceptance.counts_as_urgent(
+        node, spec, sum(works), max(works), now
+    )
     accepted = node.accepted.setdefault(
         spec.customer, queueing.admission.Accepted()
     )
@@ -375,7 +220,7 @@
     job = node.table.jobs.get(job_id)
     if job is None or job.spec.customer != customer:
         refusal = _check_id(node, parts, job_id, now) or kernel.Refused(
-            job_id, 'unknown-job', Verdict.NOT_RUN, 'no such job'
+            job_id, 'unknown-job', kernel.Verdict.NOT_RUN, 'no such job'
         )
         return [_outcomes.reply(waiter, refusal)]
     if job.answer is not None:
@@ -423,7 +268,10 @@
             # own cancellation must not start.
             jobs.table.bury(node.table, parts, 'expired')
             refusal = kernel.Refused(
-                job_id, 'cancelled', Verdict.NOT_RUN, 'cancelled before use'
+                job_id,
+                'cancelled',
+                kernel.Verdict.NOT_RUN,
+                'cancelled before use',
             )
         return [_outcomes.reply(waiter, refusal)]
     out = []
@@ -466,14 +314,14 @@
     """Refuse queued jobs that turn out to be impossible."""
     out = []
     for job in list(node.table.jobs.values()):
-        if job.answer is None and not is_possible(node, job.spec):
+        if job.answer is None and not _acceptance.is_possible(node, job.spec):
             if job.exposed or job.open:
                 continue
             out += _outcomes.fail_job(
                 node,
                 job,
                 'impossible',
-                Verdict.NOT_RUN,
+                kernel.Verdict.NOT_RUN,
                 'no endpoint takes its kinds and sizes',
                 now,
             )
--- /dev/null
+++ b/azurepier/entry/_forwarded.py
@@ -0,0 +1,66 @@
+"""Callers' requests that another entry passed on."""
+
+from azurepier.entry import _callers
+from azurepier.entry import _peers
+from azurepier.entry import _recovery
+from azurepier.entry import _state
+from azurepier import jobs
+from azurepier import kernel
+
+
+def on_forward(node, peer, msg, now):
+    waiter = _state.Waiter(conn=peer.conn, query=msg.query)
+    return _FORWARD_ACTIONS[msg.action](node, waiter, msg, now)
+
+
+def _submit(node, waiter, msg, now):
+    spec = jobs.spec_from_json(msg.body)
+    if not msg.job_id:
+        return _callers.submit_new(node, waiter, spec, msg.detach, now)
+    if _must_recover(node, msg):
+        return _recovery.recover(node, waiter, msg, now)
+    return _callers.submit(
+        node, waiter, msg.job_id, spec, msg.detach, msg.hops, now
+    )
+
+
+def _fetch(node, waiter, msg, now):
+    if _must_recover(node, msg):
+        return _recovery.recover(node, waiter, msg, now)
+    return _callers.fetch(
+        node,
+        waiter,
+        msg.job_id,
+        msg.customer,
+        msg.wait_ms / 1000,
+        msg.hops,
+        now,
+    )
+
+
+def _cancel(node, waiter, msg, now):
+    if _must_recover(node, msg):
+        return _recovery.recover(node, waiter, msg, now)
+    return _callers.cancel(
+        node, waiter, msg.job_id, msg.customer, msg.hops, now
+    )
+
+
+def _ids(node, waiter, msg, now):
+    return _callers.issue_ids(node, waiter, msg.count, now)
+
+
+def _must_recover(node, msg):
+    """Tell whether a forwarded request ends here without its owner."""
+    if msg.hops < _peers.HOPS_MAX:
+        return False
+    parts = kernel.ids.parse(msg.job_id)
+    return parts is not None and parts.incarnation != node.incarnation
+
+
+_FORWARD_ACTIONS = {
+    'submit': _submit,
+    'fetch': _fetch,
+    'cancel': _cancel,
+    'ids': _ids,
+}
--- a/azurepier/entry/_node.py
+++ b/azurepier/entry/_node.py
@@ -1,11 +1,15 @@
 """The entry as a state machine without I/O."""
 
 from azurepier import config
+from azurepier.entry import _acceptance
 from azurepier.entry import _callers
 from azurepier.entry import _dispatch
 from azurepier.entry import _endpoints
+from azurepier.entry import _forwarded
 from azurepier.entry import _leader
 from azurepier.entry import _peers
+from azurepier.entry import _quotas
+from azurepier.entry import _recovery
 from azurepier.entry import _state
 from azurepier import exchange
 from azurepier import jobs
@@ -53,8 +57,8 @@
     )
     limits.set_members(node.limits, {options.name}, now)
     node.timers.set(HEARTBEAT, now)
-    node.timers.set(QUOTA, now + _peers.QUOTA_INTERVAL_S)
-    node.timers.set(SETTLED, now + _callers.SETTLE_S)
+    node.timers.set(QUOTA, now + _quotas.QUOTA_INTERVAL_S)
+    node.timers.set(SETTLED, now + _acceptance.SETTLE_S)
     return node
 
 
@@ -164,56 +168,6 @@
     return []
 
 
-def _on_forward(node, peer, msg, now):
-    waiter = _state.Waiter(conn=peer.conn, query=msg.query)
-    return _FORWARD_ACTIONS[msg.action](node, waiter, msg, now)
-
-
-def _forwarded_submit(node, waiter, msg, now):
-    spec = jobs.spec_from_json(msg.body)
-    if not msg.job_id:
-        return _callers.submit_new(node, waiter, spec, msg.detach, now)
-    if _must_recover(node, msg):
-        return _peers.recover(node, waiter, msg, now)
-    return _callers.submit(
-        node, waiter, msg.job_id, spec, msg.detach, msg.hops, now
-    )
-
-
-def _forwarded_fetch(node, waiter, msg, now):
-    if _must_recover(node, msg):
-        return _peers.recover(node, waiter, msg, now)
-    return _callers.fetch(
-        node,
-        waiter,
-        msg.job_id,
-        msg.customer,
-        msg.wait_ms / 1000,
-        msg.hops,
-        now,
-    )
-
-
-def _forwarded_cancel(node, waiter, msg, now):
-    if _must_recover(node, msg):
-        return _peers.recover(node, waiter, msg, now)
-    return _callers.cancel(
-        node, waiter, msg.job_id, msg.customer, msg.hops, now
-    )
-
-
-def _forwarded_ids(node, waiter, msg, now):
-    return _callers.issue_ids(node, waiter, msg.count, now)
-
-
-def _must_recover(node, msg):
-    """Tell whether a forwarded request ends here without its owner."""
-    if msg.hops < _peers.HOPS_MAX:
-        return False
-    parts = kernel.ids.parse(msg.job_id)
-    return parts is not None and parts.incarnation != node.incarnation
-
-
 # Platform ----------------------------------------------------------------
 
 
@@ -249,7 +203,7 @@
     names = {peer.name for peer in node.peers.values()}
     membership.forget_stale(node.directory, names, now)
     jobs.table.expire(node.table, now)
-    _peers.expire_recoveries(node, now)
+    _recovery.expire_recoveries(node, now)
     _expire_former(node, now)
     return out + _dial(node, now)
 
@@ -319,8 +273,8 @@
 
 
 def _on_quota_tick(node, _, now):
-    node.timers.set(QUOTA, now + _peers.QUOTA_INTERVAL_S)
-    return _peers.quota_effects(node, now)
+    node.timers.set(QUOTA, now + _quotas.QUOTA_INTERVAL_S)
+    return _quotas.quota_effects(node, now)
 
 
 def _wake(node, _, now):
@@ -374,7 +328,7 @@
     messages.Grant: _endpoints.on_grant,
     messages.Leave: _endpoints.on_leave,
     messages.Heartbeat: _on_endpoint_heartbeat,
-    messages.FenceReport: _peers.on_fence_report,
+    messages.FenceReport: _recovery.on_fence_report,
     messages.ConfigRequest: _on_config_request,
     messages.ConfigUpdate: _on_config_update,
 }
@@ -382,20 +336,14 @@
 _PEER_MESSAGES = {
     messages.Heartbeat: _on_peer_heartbeat,
     messages.Members: _on_members,
-    messages.Forward: _on_forward,
+    messages.Forward: _forwarded.on_forward,
     messages.ForwardAnswer: _peers.on_forward_answer,
-    messages.QuotaRequest: _peers.on_quota_request,
-    messages.QuotaGrant: _peers.on_quota_grant,
+    messages.QuotaRequest: _quotas.on_quota_request,
+    messages.QuotaGrant: _quotas.on_quota_grant,
     messages.ConfigRequest: _on_config_request,
     messages.ConfigUpdate: _on_config_update,
 }
 
-_FORWARD_ACTIONS = {
-    'submit': _forwarded_submit,
-    'fetch': _forwarded_fetch,
-    'cancel': _forwarded_cancel,
-    'ids': _forwarded_ids,
-}
 
 _TIMER_HANDLERS = {
     DISPATCH: _on_dispatch,
@@ -407,7 +355,7 @@
     'fetch': _callers.on_fetch_timer,
     'give_up': _on_give_up,
     'owner': _peers.on_owner_timer,
-    'recovery': _peers.on_recovery_timer,
+    'recovery': _recovery.on_recovery_timer,
     'probe': _wake,
     'quota': _wake,
 }
--- a/azurepier/entry/_peers.py
+++ b/azurepier/entry/_peers.py
@@ -1,8 +1,7 @@
 """Other entries: forwarding, recovery of lost owners, quotas."""
 
-import math
-
 from azurepier.entry import _outcomes
+from azurepier.entry import _recovery
 from azurepier.entry import _state
 from azurepier import jobs
 from azurepier import kernel
@@ -14,7 +13,6 @@
 # An owner that can't be reached for this long is taken as lost.
 OWNER_WAIT_S = 2.0
 HOPS_MAX = 2
-QUOTA_INTERVAL_S = 0.25
 
 
 def connected(node, conn, hello, now):
@@ -154,7 +152,7 @@
 
 def _pass_on(node, waiter, parts, msg, now):
     if msg.job_id in node.recoveries:
-        return recover(node, waiter, msg, now)
+        return _recovery.recover(node, waiter, msg, now)
     if _is_gone(node, parts.incarnation):
         return _to_recoverer(node, waiter, msg, now)
     forwarded = _new_forward(node, waiter, msg, parts.incarnation, now)
@@ -231,7 +229,7 @@
     names = {peer.name: peer for peer in node.peers.values()}
     chosen = membership.first(msg.job_id, {*names, node.options.name})
     if chosen == node.options.name or msg.hops >= HOPS_MAX:
-        return recover(node, waiter, msg, now)
+        return _recovery.recover(node, waiter, msg, now)
     peer = names[chosen]
     msg.hops = HOPS_MAX
     forwarded = _new_forward(node, waiter, msg, peer.incarnation, now)
@@ -249,119 +247,7 @@
     return [_outcomes.reply(forwarded.waiter, answer)]
 
 
-# Recovery ----------------------------------------------------------------
-
-
-def recover(node, waiter, msg, now):
-    """Find the best true answer for a job whose owner is gone."""
-    recovery = node.recoveries.get(msg.job_id)
-    out = []
-    if recovery is None:
-        recovery = _new_recovery(node, msg, now)
-        out += _ask_endpoints(node, recovery, now)
-    elif recovery.customer != msg.customer:
-        return [_outcomes.reply(waiter, _not_known(msg.job_id))]
-    elif recovery.spec is None and msg.body:
-        recovery.spec = jobs.spec_from_json(msg.body)
-    if recovery.answer is not None:
-        return [_outcomes.reply(waiter, recovery.answer)]
-    recovery.waiters.append(waiter)
-    if waiter.req is not None:
-        node.pending[waiter.req] = recovery.waiters
-    return out + _advance(node, recovery, now)
-
-
-def _not_known(job_id):
-    return kernel.Refused(
-        job_id, 'unknown-job', kernel.Verdict.MAY_HAVE_RUN, 'no such job'
-    )
-
-
-def _new_recovery(node, msg, now):
-    spec = jobs.spec_from_json(msg.body) if msg.body else None
-    wait_s = jobs.recovery.WAIT_MAX_S
-    if spec is not None:
-        wait_s = min(spec.deadline_ms / 1000, wait_s)
-    recovery = jobs.Recovery(
-        job_id=msg.job_id,
-        customer=msg.customer,
-        spec=spec,
-        started_at=now,
-        give_up_at=now + wait_s,
-    )
-    node.recoveries[msg.job_id] = recovery
-    node.count('recoveries')
-    return recovery
-
-
-def _ask_endpoints(node, recovery, now):
-    node.recovery_queries.pop(recovery.query, None)
-    recovery.query = node.next_query
-    node.next_query += 1
-    node.recovery_queries[recovery.query] = recovery.job_id
-    recovery.awaited = set(node.by_conn)
-    recovery.round_ends_at = now + jobs.recovery.REPORT_WAIT_S
-    node.timers.set(('recovery', recovery.job_id), recovery.round_ends_at)
-    msg = messages.FenceJob(
-        query=recovery.query,
-        job_id=recovery.job_id,
-        customer=recovery.customer,
-    )
-    return [effects.Send(conn, msg) for conn in recovery.awaited]
-
-
-def on_fence_report(node, view, msg, now):
-    """Take an endpoint's report on a job that is being recovered."""
-    recovery = node.recoveries.get(msg.job_id)
-    if recovery is None or recovery.answer is not None:
-        return []
-    jobs.recovery.take_report(recovery, msg)
-    if msg.query == recovery.query and not msg.more:
-        recovery.awaited.discard(view.conn)
-    return _advance(node, recovery, now)
-
-
-def on_recovery_timer(node, job_id, now):
-    """Conclude a round of reports or ask again while tasks run."""
-    recovery = node.recoveries.get(job_id)
-    if recovery is None or recovery.answer is not None:
-        return []
-    out = _advance(node, recovery, now)
-    if recovery.answer is None:
-        out += _ask_endpoints(node, recovery, now)
-    return out
-
-
-def _advance(node, recovery, now):
-    answer = jobs.recovery.conclude(recovery, now)
-    if answer is None:
-        if not recovery.awaited:
-            at = now + jobs.recovery.ASK_AGAIN_S
-            node.timers.set(('recovery', recovery.job_id), at)
-        return []
-    recovery.answer = answer
-    recovery.ended_at = now
-    recovery.reports = {}
-    node.recovery_queries.pop(recovery.query, None)
-    out = _outcomes.reply_all(node, recovery.waiters, answer)
-    outcome = getattr(answer, 'type', 'complete')
-    out.append(effects.Record('recovered', recovery.job_id, detail=outcome))
-    return out
-
-
-def expire_recoveries(node, now):
-    """Drop recovered answers after the retention period."""
-    old = [
-        job_id
-        for job_id, recovery in node.recoveries.items()
-        if recovery.answer is not None
-        and now - recovery.ended_at > jobs.table.RETAIN_S
-    ]
-    for job_id in old:
-        del node.recoveries[job_id]
-
-
-# Members and quotas ------------------------------------------------------
+# Members ----------------------------------------------------------------
 
 
 def learn_entry(node, info, now):
@@ -374,43 +260,3 @@
             return  # an outdated list that names an earlier incarnation
         node.former[known.info.incarnation] = now
     membership.learn(node.directory, info, now)
-
-
-def quota_effects(node, now):
-    """Send the quota messages that are due."""
-    return _to_names(node, limits.on_tick(node.limits, now))
-
-
-def _to_names(node, addressed):
-    conns = {peer.name: peer.conn for peer in node.peers.values()}
-    return [
-        effects.Send(conns[name], msg)
-        for name, msg in addressed
-        if name in conns
-    ]
-
-
-def _is_finite(msg):
-    """Tell whether all numbers of a quota message can be calculated with."""
-    return all(
-        math.isfinite(value)
-        for value in (getattr(msg, name) for name in msg.__slots__)
-        if isinstance(value, float)
-    )
-
-
-def on_quota_request(node, peer, msg, now):
-    """Lend parts of a customer's limits to another entry."""
-    if not _is_finite(msg):
-        return [effects.Close(peer.conn)]
-    sent = limits.on_request(node.limits, peer.name, msg, now)
-    return _to_names(node, sent)
-
-
-def on_quota_grant(node, peer, msg, now):
-    """Take over parts of a customer's limits."""
-    if not _is_finite(msg):
-        return [effects.Close(peer.conn)]
-    node.dirty = True
-    sent = limits.on_grant(node.limits, peer.name, msg, now)
-    return _to_names(node, sent)
--- /dev/null
+++ b/azurepier/entry/_recovery.py
@@ -0,0 +1,116 @@
+"""Recovery of jobs whose owner is gone, from what the endpoints hold."""
+
+from azurepier.entry import _outcomes
+from azurepier import jobs
+from azurepier import kernel
+from azurepier.kernel import effects
+from azurepier.kernel import messages
+
+
+def recover(node, waiter, msg, now):
+    """Find the best true answer for a job whose owner is gone."""
+    recovery = node.recoveries.get(msg.job_id)
+    out = []
+    if recovery is None:
+        recovery = _new_recovery(node, msg, now)
+        out += _ask_endpoints(node, recovery, now)
+    elif recovery.customer != msg.customer:
+        return [_outcomes.reply(waiter, _not_known(msg.job_id))]
+    elif recovery.spec is None and msg.body:
+        recovery.spec = jobs.spec_from_json(msg.body)
+    if recovery.answer is not None:
+        return [_outcomes.reply(waiter, recovery.answer)]
+    recovery.waiters.append(waiter)
+    if waiter.req is not None:
+        node.pending[waiter.req] = recovery.waiters
+    return out + _advance(node, recovery, now)
+
+
+def _not_known(job_id):
+    return kernel.Refused(
+        job_id, 'unknown-job', kernel.Verdict.MAY_HAVE_RUN, 'no such job'
+    )
+
+
+def _new_recovery(node, msg, now):
+    spec = jobs.spec_from_json(msg.body) if msg.body else None
+    wait_s = jobs.recovery.WAIT_MAX_S
+    if spec is not None:
+        wait_s = min(spec.deadline_ms / 1000, wait_s)
+    recovery = jobs.Recovery(
+        job_id=msg.job_id,
+        customer=msg.customer,
+        spec=spec,
+        started_at=now,
+        give_up_at=now + wait_s,
+    )
+    node.recoveries[msg.job_id] = recovery
+    node.count('recoveries')
+    return recovery
+
+
+def _ask_endpoints(node, recovery, now):
+    node.recovery_queries.pop(recovery.query, None)
+    recovery.query = node.next_query
+    node.next_query += 1
+    node.recovery_queries[recovery.query] = recovery.job_id
+    recovery.awaited = set(node.by_conn)
+    recovery.round_ends_at = now + jobs.recovery.REPORT_WAIT_S
+    node.timers.set(('recovery', recovery.job_id), recovery.round_ends_at)
+    msg = messages.FenceJob(
+        query=recovery.query,
+        job_id=recovery.job_id,
+        customer=recovery.customer,
+    )
+    return [effects.Send(conn, msg) for conn in recovery.awaited]
+
+
+def on_fence_report(node, view, msg, now):
+    """Take an endpoint's report on a job that is being recovered."""
+    recovery = node.recoveries.get(msg.job_id)
+    if recovery is None or recovery.answer is not None:
+        return []
+    jobs.recovery.take_report(recovery, msg)
+    if msg.query == recovery.query and not msg.more:
+        recovery.awaited.discard(view.conn)
+    return _advance(node, recovery, now)
+
+
+def on_recovery_timer(node, job_id, now):
+    """Conclude a round of reports or ask again while tasks run."""
+    recovery = node.recoveries.get(job_id)
+    if recovery is None or recovery.answer is not None:
+        return []
+    out = _advance(node, recovery, now)
+    if recovery.answer is None:
+        out += _ask_endpoints(node, recovery, now)
+    return out
+
+
+def _advance(node, recovery, now):
+    answer = jobs.recovery.conclude(recovery, now)
+    if answer is None:
+        if not recovery.awaited:
+            at = now + jobs.recovery.ASK_AGAIN_S
+            node.timers.set(('recovery', recovery.job_id), at)
+        return []
+    recovery.answer = answer
+    recovery.ended_at = now
+    recovery.reports = {}
+    node.recovery_queries.pop(recovery.query, None)
+    out = _outcomes.reply_all(node, recovery.waiters, answer)
+    outcome = getattr(answer, 'type', 'complete')
+    out.append(effects.Record('recovered', recovery.job_id, detail=outcome))
+    return out
+
+
+def expire_recoveries(node, now):
+    """Drop recovered answers after the retention period."""
+    old = [
+        job_id
+        for job_id, recovery in node.recoveries.items()
+        if recovery.answer is not None
+        and now - recovery.ended_at > jobs.table.RETAIN_S
+    ]
+    for job_id in old:
+        del node.recoveries[job_id]
--- a/azurepier/entry/tests/test_faults.py
+++ b/azurepier/entry/tests/test_faults.py
@@ -1,7 +1,7 @@
 """Faulty workers, impossible jobs, cancellations, drains, platform outages."""
 
 from azurepier import config
-from azurepier.entry import _callers
+from azurepier.entry import _acceptance
 from azurepier.jobs import _table
 from azurepier import kernel
 from azurepier.kernel import events
@@ -95,7 +95,7 @@
         fleet = self._fleet()
         req = fleet.submit(1, testing.spec([50], kind='paint'))
         assert fleet.answer(1, req) is None
-        _run(fleet, _callers.SETTLE_S)
+        _run(fleet, _acceptance.SETTLE_S)
         assert fleet.answer(1, req).type == 'impossible'
 
 
--- a/azurepier/entry/tests/test_mechanisms.py
+++ b/azurepier/entry/tests/test_mechanisms.py
@@ -6,8 +6,10 @@
 import pytest
 
 from azurepier import config
+from azurepier.endpoint import _drain as endpoint_drain
 from azurepier.endpoint import _node as endpoint_node
 from azurepier.endpoint import _retention
+from azurepier.entry import _acceptance
 from azurepier.entry import _callers
 from azurepier.entry import _outcomes
 from azurepier.entry.tests import test_faults as faults
@@ -54,7 +56,7 @@
 
 
 def _no_acceptance_wait(patch):
-    patch.setattr(_callers, 'SETTLE_S', -1.0)
+    patch.setattr(_acceptance, 'SETTLE_S', -1.0)
 
 
 def _no_resume(patch):
@@ -71,11 +73,11 @@
 
 
 def _drain_drops_waiting(patch):
-    patch.setattr(endpoint_node, '_finish_drain', _stop_at_once)
+    patch.setattr(endpoint_drain, 'finish', _stop_at_once)
 
 
 def _stop_at_once(node, now):
-    return endpoint_node._stop(node) if node.draining else []
+    return endpoint_drain.stop(node) if node.draining else []
 
 
 def _unbounded_memory(patch):
