Tell unused ids of a lost owner from lost jobs

Such a job is now refused as 'owner-unreachable', so that a client which used the id for the first time takes another one. An entry whose leader doesn't answer issues ids of its own, a recovery that began without the job's content starts anew with it, a drain lasts as long as the longest deadline allows instead of 30 s, and an answer at the deadline says when to come back.

--- a/azurepier/daemon/_process.py
+++ b/azurepier/daemon/_process.py
@@ -11,12 +11,14 @@
 from azurepier.daemon import _metrics
 from azurepier.daemon import _platform
 from azurepier.daemon import _shell
+from azurepier import kernel
 from azurepier.kernel import SettingsError
 from azurepier import platform
 from azurepier import timeline
 from azurepier import wire
 
-DRAIN_LIMIT_S = 30.0
+# No job may be open for longer than the longest deadline.
+DRAIN_LIMIT_S = kernel.MAX_DEADLINE_MS / 1000 + 10.0
 CLOSE_LIMIT_S = 10.0
 RING_EVENTS = 20_000
 
--- a/azurepier/entry/_callers.py
+++ b/azurepier/entry/_callers.py
@@ -299,6 +299,7 @@
         jobs.table.verdict(job),
         'the deadline has passed',
         now,
+        retry_after_s=_acceptance.RETRY_SOON_S,
     )
 
 
--- a/azurepier/entry/_endpoints.py
+++ b/azurepier/entry/_endpoints.py
@@ -32,8 +32,7 @@
     view.cancels = []
     view.members_version = 0
     node.by_conn[conn] = view
-    if len(node.by_conn) == 1:
-        out.append(effects.Record('endpoint_connected', endpoint=view.name))
+    out.append(effects.Record('endpoint_connected', endpoint=view.name))
     return out
 
 
--- a/azurepier/entry/_peers.py
+++ b/azurepier/entry/_peers.py
@@ -191,6 +191,7 @@
 
 def _send_forward(forwarded, conn):
     forwarded.conn = conn
+    forwarded.sent = True
     return [effects.Send(conn, forwarded.msg)]
 
 
@@ -201,35 +202,38 @@
         return []
     del node.forwards[query]
     if not forwarded.msg.job_id:
-        return _leader_lost(node, forwarded)
-    return _to_recoverer(node, forwarded.waiter, forwarded.msg, now)
+        return _leader_lost(node, forwarded, now)
+    return _to_recoverer(
+        node, forwarded.waiter, forwarded.msg, now, forwarded.sent
+    )
 
 
-def _leader_lost(node, forwarded):
+def _leader_lost(node, forwarded, now):
     """Answer a request that was sent to a leader that is gone.
 
     The leader may have given the job an id that nobody here knows.
     """
     _outcomes.forget_waiter(node, forwarded.waiter)
-    may_have_run = forwarded.msg.action == 'submit'
+    if forwarded.msg.action == 'ids':
+        ids = jobs.table.issue(node.table, forwarded.msg.count, now)
+        answer = kernel.Ids(ids, jobs.table.ID_VALIDITY_S)
+        return [_outcomes.reply(forwarded.waiter, answer)]
     answer = kernel.Refused(
         '',
         'owner-lost',
-        kernel.Verdict.MAY_HAVE_RUN
-        if may_have_run
-        else kernel.Verdict.NOT_RUN,
+        kernel.Verdict.MAY_HAVE_RUN,
         'the entry that took the request is gone',
         OWNER_WAIT_S,
     )
     return [_outcomes.reply(forwarded.waiter, answer)]
 
 
-def _to_recoverer(node, waiter, msg, now):
+def _to_recoverer(node, waiter, msg, now, reached=True):
     """Let one agreed entry recover the job, so that answers agree."""
     names = {peer.name: peer for peer in node.peers.values()}
     chosen = membership.first(msg.job_id, {*names, node.options.name})
     if chosen == node.options.name or msg.hops >= HOPS_MAX:
-        return _recovery.recover(node, waiter, msg, now)
+        return _recovery.recover(node, waiter, msg, now, reached)
     peer = names[chosen]
     msg.hops = HOPS_MAX
     forwarded = _new_forward(node, waiter, msg, peer.incarnation, now)
--- a/azurepier/entry/_recovery.py
+++ b/azurepier/entry/_recovery.py
@@ -7,7 +7,7 @@
 from azurepier.kernel import messages
 
 
-def recover(node, waiter, msg, now):
+def recover(node, waiter, msg, now, reached=True):
     """Find the best true answer for a job whose owner is gone."""
     recovery = node.recoveries.get(msg.job_id)
     out = []
@@ -17,7 +17,11 @@
     elif recovery.customer != msg.customer:
         return [_outcomes.reply(waiter, _not_known(msg.job_id))]
     elif recovery.spec is None and msg.body:
+        # Without the job's content the answer could only be a failure.
         recovery.spec = jobs.spec_from_json(msg.body)
+        recovery.answer = None
+        out += _ask_endpoints(node, recovery, now)
+    recovery.reached = recovery.reached or reached
     if recovery.answer is not None:
         return [_outcomes.reply(waiter, recovery.answer)]
     recovery.waiters.append(waiter)
--- a/azurepier/entry/_state.py
+++ b/azurepier/entry/_state.py
@@ -149,6 +149,7 @@
     incarnation: str
     give_up_at: float
     conn: int | None = None
+    sent: bool = False
 
 
 @attrs.define
--- a/azurepier/entry/tests/test_dispatch.py
+++ b/azurepier/entry/tests/test_dispatch.py
@@ -170,3 +170,30 @@
 
 def _bound(function):
     return lambda driver, *args: function(*args)
+
+
+class TestLostLeader:
+    def _cut_off(self):
+        """Return a fleet and an id of a leader that has just died."""
+        fleet = testing.make_fleet(entries=2)
+        job_id = fleet.new_id(0)
+        fleet.driver.kill(fleet.entries[0])
+        _run(fleet, 0.1)
+        return fleet, job_id
+
+    def test_unused_id_is_told_from_a_lost_job(self):
+        # Guards against failing a job that no entry ever got.
+        fleet, job_id = self._cut_off()
+        req = fleet.submit(1, testing.spec([50]), job_id)
+        _run(fleet, 8.0)
+        answer = fleet.answer(1, req)
+        assert answer.type == 'owner-unreachable'
+        assert not fleet.starts
+
+    def test_another_entry_issues_ids(self):
+        # Guards against callers that get no ids while a leader is lost.
+        fleet = testing.make_fleet(entries=2)
+        fleet.driver.freeze(fleet.entries[0])
+        req = fleet.request(1, lambda req: events.NewIds(req, 2))
+        _run(fleet, 8.0)
+        assert len(fleet.answer(1, req).ids) == 2
--- a/azurepier/entry/tests/test_invariants.py
+++ b/azurepier/entry/tests/test_invariants.py
@@ -315,3 +315,13 @@
         before = dict(fleet.starts)
         fleet.driver.run_until(fleet.driver.now + 20.0)
         assert fleet.starts == before
+
+    def test_content_that_comes_later_improves_the_answer(self):
+        # Guards against a failure that only a request without the job's
+        # content has seen.
+        fleet, spec, job_id = self._orphan([100, 300], 0.05)
+        fleet.driver.kill(fleet.entries[0])
+        fleet.request(1, lambda req: events.Fetch(req, job_id, 'ash', 5.0))
+        fleet.driver.run_until(fleet.driver.now + 6.0)
+        answer = self._resubmit(fleet, spec, job_id)
+        assert isinstance(answer, kernel.Complete)
--- a/azurepier/jobs/_recovery.py
+++ b/azurepier/jobs/_recovery.py
@@ -32,6 +32,7 @@
     round_ends_at: float = 0.0
     reports: dict = attrs.field(factory=dict)  # task -> TaskReport
     query: int = 0
+    reached: bool = False  # a request for the job was sent to its owner
     answer: object = None
     ended_at: float = 0.0
 
@@ -45,9 +46,12 @@
 
 
 def _lost(recovery, detail):
+    # A client that used the id for the first time learns from the type that
+    # the owner got nothing of the job.
+    unreached = recovery.spec and not recovery.reached and not recovery.reports
     return kernel.Refused(
         recovery.job_id,
-        'owner-lost',
+        'owner-unreachable' if unreached else 'owner-lost',
         kernel.Verdict.MAY_HAVE_RUN,
         detail,
     )
--- a/azurepier/kernel/_job.py
+++ b/azurepier/kernel/_job.py
@@ -114,6 +114,7 @@
     'task-failed': (502, 'A task failed'),
     'task-lost': (502, 'A task was lost with its worker'),
     'owner-lost': (502, 'The entry that owned the job was lost'),
+    'owner-unreachable': (502, 'The entry that owns the id is gone'),
     'cancelled': (410, 'The job was cancelled'),
     'draining': (503, 'This entry is shutting down'),
     'not-ready': (503, 'This entry has no configuration yet'),
