Send quota reports that should not wait for the next tick

may_start leaves a report in an outbox when the demand exceeds the entry's share, and nothing sent it before the next tick.

--- a/azurepier/entry/_node.py
+++ b/azurepier/entry/_node.py
@@ -262,7 +262,8 @@
 
 
 def _on_dispatch(node, _, now):
-    return _dispatch.dispatch(node, now)
+    out = _dispatch.dispatch(node, now)
+    return out + _quotas.urgent_effects(node)
 
 
 def _on_give_up(node, incarnation, now):
--- a/azurepier/entry/_quotas.py
+++ b/azurepier/entry/_quotas.py
@@ -13,6 +13,11 @@
     return _to_names(node, limits.on_tick(node.limits, now))
 
 
+def urgent_effects(node):
+    """Send the quota messages that should not wait for the next tick."""
+    return _to_names(node, limits.take_outbox(node.limits))
+
+
 def _to_names(node, addressed):
     conns = {peer.name: peer.conn for peer in node.peers.values()}
     return [
