--- a/azurepier/entry/tests/test_invariants.py
+++ b/azurepier/entry/tests/test_invariants.py
@@ -254,6 +254,7 @@
         at, answer = fleet.driver.answers[(fleet.entries[0].name, req)]
         assert at - asked_at <= 1.001
         assert answer.verdict is verdict
+        assert answer.retry_after_s > 0
         testing.check_job(fleet, spec, answer)
 
 
