Keep the urgent reserve on the fastest endpoints only

Ruled out: a larger share of slots (no effect), a larger margin for holding tasks (99th percentile up to 4.12).

--- a/azurepier/entry/_dispatch.py
+++ b/azurepier/entry/_dispatch.py
@@ -21,7 +21,7 @@
 SKIPPED_MAX = 32
 # Slots of endpoints that are slower than the fastest by a larger factor are
 # no reserve for urgent work, which would end late there anyway.
-RESERVE_SPEED = 1.5
+RESERVE_SPEED = 1.2
 # Largest share of all slots that is kept free for urgent work.
 RESERVE_SHARE_MAX = 0.05
 URGENT_WINDOW_S = 10.0
