Don't estimate the fleet's rate far below its capacity

The measured rate counts only tasks that ended while others waited: 50 to 60 of 97 in a crest, and less after an endpoint was lost, which made admission control refuse too early.

--- a/azurepier/entry/_acceptance.py
+++ b/azurepier/entry/_acceptance.py
@@ -21,6 +21,7 @@
 OVERLOAD_RETRY_S = 2.0
 # Share of the nominal capacity that a busy fleet reaches.
 USABLE_SHARE = 0.9
+MEASURED_SHARE_MIN = 0.6
 
 
 def draining(node, job_id):
@@ -91,14 +92,16 @@
 
 def _rate(node):
     """Return the work per second that this entry's jobs can expect."""
-    if node.waiting_tasks and node.throughput.rate:
-        return node.throughput.rate
-    capacity = sum(
+    usable = USABLE_SHARE * sum(
         view.slots * view.history.speed
         for view in node.by_conn.values()
         if view.ready and not view.leaving
     )
-    return capacity * USABLE_SHARE
+    if not node.waiting_tasks or not node.throughput.rate:
+        return usable
+    # Only tasks that ended count in the measured rate, so it is far too low
+    # while long tasks run or after an endpoint was lost.
+    return max(node.throughput.rate, usable * MEASURED_SHARE_MIN)
 
 
 def _accepted_rate(node, customer, now):
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -208,8 +208,9 @@
         finally:
             frozen.child.send_signal(signal.SIGCONT)
         assert any(reply.status != 200 for reply in replies.values())
-        late = [job_id for job_id in ids[30:] if replies[job_id].status != 200]
-        assert not late
+        late = [replies[job_id] for job_id in ids[30:]]
+        late = [reply.value for reply in late if reply.status != 200]
+        assert not late, late[:3]
         _until(lambda: _is_ready(ready), 'the endpoint is back')
         _check_verdicts(ready, replies, 2)
 
