Divide scarce limits by average demand and measure the result

Cause: entries reported the peaks of their demand. With 100 running tasks, 10 entries and 80 % of the demand at one of them 44 % of the limit was used, with 1000 starts/s and 3 entries 89 %.

Averages are reported now, bursts only while the limit is not scarce; a quiet customer is divided anew every second instead of every tick, and grants that shrink a share are sent only for a part that another entry lacks.

Also: of three entries that take turns in two parts one got half of all, since turns that begin together were equal. The lease of an entry that left is now counted until it ends instead of for 2.1 s.

--- a/azurepier/limits/__init__.py
+++ b/azurepier/limits/__init__.py
@@ -4,32 +4,49 @@
 each entry keeps a minimum that needs no lease. A time is passed in with each
 call, and messages are returned to the caller.
 
+The caller calls `set_members` and `set_plans` on changes, `on_tick` every
+`TICK_S`, `demand` when a queue changes, `may_start` and `started` for each
+task, `ended` for each end, and sends what `on_tick`, `on_request`, `on_grant`
+and `take_outbox` return. After each of these it asks `may_start` again for
+the customers whose tasks wait.
+
 Notes
 -----
-The bounds that hold, with a limit of `L` starts per second, a burst `B` and
-`C` running tasks:
+The bounds, for a limit of `L` starts per second with a burst `B` (0.1 s of
+`L` or one job's worth) and `C` running tasks, by the entries' clocks:
 
-* While the members of all entries agree, at most ``L * t + B`` tasks start
-  in any time `t`, and no start makes more than `C` tasks run.
-* While the members differ, each group of entries that agree obeys the bounds
-  by itself: `k` groups together stay within `k` times the limits.
-* When the members agree again, leases end within `LEASE_S`; tasks above an
-  entry's share are not stopped, but it starts none until it is within it.
+* While all entries see the same members, at most ``L * t + B`` tasks start
+  in any time `t`, and no start makes more than `C` tasks run. This assumes
+  that an entry is not frozen between `may_start` and `started`, and that a
+  member and the home hear from each other every `HOLD_S`; the running tasks
+  of a member that is silent for longer, or that left, are not counted.
+* While the members differ, the entries that see the same members form a
+  group. Each group keeps these bounds by itself, so `k` groups together start
+  at most ``k * (L * t + B)`` and run at most ``k * C`` tasks. An entry that
+  was frozen for more than `LEASE_S` starts nothing until the home of its
+  group lends to it or `HOLD_S` has passed, by which time it has left the
+  others' members or is in contact again.
+* When the members agree again, the bound on starts holds from `LEASE_S` (and
+  `CLOCK_DRIFT`) later. Tasks that started before are not stopped: an entry
+  that runs more than its share starts none, and `C` may be exceeded by the
+  tasks above the shares until those have ended.
+* While a new plan is not in force everywhere, and for `LEASE_S` after that,
+  the larger of the two limits holds; tasks above a smaller `C` may run on.
 """
 
+from azurepier.limits._exchange import on_grant
+from azurepier.limits._exchange import on_request
+from azurepier.limits._exchange import on_tick
+from azurepier.limits._exchange import take_outbox
 from azurepier.limits._limits import allowance
 from azurepier.limits._limits import create
 from azurepier.limits._limits import demand
 from azurepier.limits._limits import ended
 from azurepier.limits._limits import may_start
 from azurepier.limits._limits import next_allowed_at
-from azurepier.limits._limits import on_grant
-from azurepier.limits._limits import on_request
-from azurepier.limits._limits import on_tick
 from azurepier.limits._limits import set_members
 from azurepier.limits._limits import set_plans
 from azurepier.limits._limits import started
-from azurepier.limits._limits import take_outbox
 from azurepier.limits._state import LEASE_S
 from azurepier.limits._state import Limits
 from azurepier.limits._state import TICK_S
--- a/azurepier/limits/_home.py
+++ b/azurepier/limits/_home.py
@@ -10,9 +10,9 @@
 # Interval between requests for a report to a member that is silent (s).
 POLL_S = 0.5
 # The minimum of an idle member is asked for again this long before the
-# member may use it again (s); this allows for several lost messages, and for
-# the last lease granted from it.
-POLL_AHEAD_S = _ledger.LEASE_COUNTED_S + 2.4
+# member may use it again (s): the last lease granted from it has to end, and
+# two messages may be lost. Members that renew leases need no poll.
+POLL_AHEAD_S = _ledger.LEASE_COUNTED_S + 1.5
 # When there are fewer parts to lend than entries that want one, each entry
 # holds its part for this long (s), but for at least `TURN_TOKENS` starts.
 TURN_S = 2.0
@@ -21,14 +21,16 @@
 # need not wait; the rest remains for entries whose demand begins.
 LENT_AHEAD = 0.5
 # The limit is divided again before the next tick if a demand begins, ends or
-# grows by this factor.
+# grows by this factor, and in the next tick if it falls by it. Without such
+# changes it is divided again after `QUIET_S`.
 RETARGET = 1.2
+QUIET_S = 1.0
 
 
 def _is_active(member, now):
     return (
         member.want_concurrent > 0
-        and member.left_at is None
+        and not member.left
         and now - member.received_at < _state.LEASE_S
     )
 
@@ -43,9 +45,10 @@
         return now - member.turn_at >= length, member.turn_at
 
     chosen = sorted(members, key=order)[:slots]
-    for member in chosen:
+    for index, member in enumerate(chosen):
         if now - member.turn_at >= length:
-            member.turn_at = now
+            # Of turns that begin together, one has to count as the older.
+            member.turn_at = now + index * 1e-6
     return chosen
 
 
@@ -185,7 +188,7 @@
     """
     ledger = acct.ledger or _ledger.open_ledger(state, acct, now)
     member = ledger.members.get(name)
-    if member is None or member.left_at is not None or not acct.limit.rate:
+    if member is None or member.left or not acct.limit.rate:
         return []
     if msg.sent_at <= member.sent_at:
         return []
@@ -208,6 +211,8 @@
         member.count_rate < counted[0] or member.count_concurrent < counted[1]
     )
     changed = waited or _differ(before, wants) or (freed and ledger.short)
+    if changed or _differ(wants, before):
+        ledger.tick_at = now
     if changed:
         set_targets(state, acct, now)
     floor = _ledger.assumed_minimum(state, acct, now)
@@ -258,49 +263,51 @@
 
     Notes
     -----
-    A share grows for a member that wants more than it has. It shrinks only
-    if a member can't get what it wants.
+    A part of a share grows for a member that wants more than it has. It
+    shrinks only if another member can't get what it wants of it.
     """
-    ledger, limit = acct.ledger, acct.limit
+    limit = acct.limit
     floor = _ledger.assumed_minimum(state, acct, now)
-    changes = []
-    unmet = False
-    for name, member in ledger.members.items():
-        if not _is_active(member, now):
-            continue
-        offer = _offer(acct, member, floor, now)
-        want_rate = max(member.want_rate, limit.least_rate)
-        short = (
-            offer[0] + member.kept_rate < want_rate * (1 - PUSH_CHANGE)
-            or offer[1] + member.kept_concurrent < member.want_concurrent
-        )
-        unmet = unmet or short
-        # An older request would leave too little time to use the lease.
-        if now - member.received_at <= _state.LEASE_S / 2:
-            changes.append((name, member))
+    active = [
+        (name, member)
+        for name, member in acct.ledger.members.items()
+        if _is_active(member, now)
+    ]
+    short = [False, False]
+    for _, member in active:
+        rate, concurrent = _offer(acct, member, floor, now)
+        want = max(member.want_rate, limit.least_rate) * (1 - PUSH_CHANGE)
+        short[0] |= rate + member.kept_rate < want
+        concurrent += member.kept_concurrent
+        short[1] |= concurrent < member.want_concurrent
     out = []
-    for name, member in changes:
+    for name, member in active:
+        # An older request would leave too little time to use the lease.
+        if now - member.received_at > _state.LEASE_S / 2:
+            continue
         offer = _offer(acct, member, floor, now)
-        if _is_useful(member, offer, limit, unmet):
+        if _is_useful(member, offer, limit, short):
             out.append((name, _grant(state, acct, member, offer, now)))
     return out
 
 
-def _is_useful(member, offer, limit, unmet):
-    last_rate, last = 0.0, 0
+def _is_useful(member, offer, limit, short):
+    last = (0.0, 0)
     if member.leases:
-        last_rate = member.leases[-1].rate
-        last = member.leases[-1].concurrent
-    least = limit.least_rate * PUSH_CHANGE
-    rate = _is_change(last_rate, offer[0], least)
-    concurrent = _is_change(last, offer[1], 1)
-    if not rate and not concurrent:
-        return False
-    if (rate and offer[0] < last_rate) or (concurrent and offer[1] < last):
-        return unmet
-    return (
-        last_rate + member.kept_rate < member.want_rate
-        or last + member.kept_concurrent < member.want_concurrent
+        last = member.leases[-1].rate, member.leases[-1].concurrent
+    wants = (
+        member.want_rate - member.kept_rate,
+        member.want_concurrent - member.kept_concurrent,
+    )
+    least = (limit.least_rate * PUSH_CHANGE, 1)
+    return any(
+        _is_change(last[part], offer[part], least[part])
+        and (
+            short[part]
+            if offer[part] < last[part]
+            else last[part] < wants[part]
+        )
+        for part in (0, 1)
     )
 
 
@@ -309,7 +316,7 @@
     to_lend = _ledger.assumed_minimum(state, acct, now)[1] > 0
     out = []
     for name, member in ledger.members.items():
-        if member.left_at is not None or now - member.polled_at < POLL_S:
+        if member.left or now - member.polled_at < POLL_S:
             continue
         silent = member.kept_until < now + POLL_AHEAD_S
         if name in ledger.unheard or (ledger.short and to_lend and silent):
@@ -327,11 +334,17 @@
     list of (str, QuotaGrant)
     """
     ledger = acct.ledger
-    if now >= ledger.busy_until or not acct.limit.rate:
+    if now < ledger.tick_at or now >= ledger.busy_until:
+        return []
+    if not acct.limit.rate:
         return []
     _ledger.recount(state, acct, now)
     out = []
     if _ledger.is_ready(acct, now):
         set_targets(state, acct, now)
         out += _pushes(state, acct, now)
-    return out + _polls(state, acct, now)
+    out += _polls(state, acct, now)
+    if not out and not ledger.unheard:
+        quiet = now + QUIET_S - _state.TICK_S / 2
+        ledger.tick_at = min(quiet, _ledger.next_end(ledger, now))
+    return out
--- a/azurepier/limits/_ledger.py
+++ b/azurepier/limits/_ledger.py
@@ -1,5 +1,7 @@
 """The home's record of who may use which part of a customer's limit."""
 
+import math
+
 from azurepier.limits import _shares
 from azurepier.limits import _state
 
@@ -49,10 +51,7 @@
     ledger = acct.ledger
     names = set(state.members)
     for name, member in ledger.members.items():
-        if name in names:
-            member.left_at = None
-        elif member.left_at is None:
-            member.left_at = now
+        member.left = name not in names
     for name in names - ledger.members.keys():
         ledger.members[name] = _state.Member()
     heard(ledger, ledger.unheard - names, now)
@@ -96,7 +95,7 @@
 
 def kept_of(member, floor, now):
     """Return the minimum that a member may use while a new lease lasts."""
-    if member.left_at is not None:
+    if member.left:
         return 0.0, 0
     if now >= member.kept_until:
         return floor
@@ -126,14 +125,15 @@
         if now - member.received_at > _state.HOLD_S:
             member.leases = []
             member.running = 0
-        left_at = member.left_at
-        if left_at is not None and now - left_at > LEASE_COUNTED_S:
+        # A member that left can start nothing when its leases have ended.
+        if member.left and all(lease.until <= now for lease in member.leases):
             del ledger.members[name]
 
 
 def recount(state, acct, now):
     """Count anew what all members may use."""
     ledger = acct.ledger
+    ledger.tick_at = now
     _forget_silent(ledger, now)
     _fill_pool(acct, now)
     floor = assumed_minimum(state, acct, now)
@@ -150,6 +150,17 @@
     _fill_pool(acct, now)
 
 
+def next_end(ledger, now):
+    """Return when the next lease ends for the home (s)."""
+    ends = (
+        lease.until
+        for member in ledger.members.values()
+        for lease in member.leases
+        if lease.until > now
+    )
+    return min(ends, default=math.inf)
+
+
 def heard(ledger, names, now):
     """Wait no longer for reports of `names`; the bucket fills from now."""
     if not ledger.unheard.isdisjoint(names):
--- a/azurepier/limits/_limits.py
+++ b/azurepier/limits/_limits.py
@@ -1,10 +1,7 @@
-"""Interface of the limits: what may start at this entry now."""
+"""What may start at this entry now."""
 
-import collections
-
-from azurepier.kernel import messages
 from azurepier.limits import _account
-from azurepier.limits import _home
+from azurepier.limits import _exchange
 from azurepier.limits import _ledger
 from azurepier.limits import _reports
 from azurepier.limits import _shares
@@ -12,8 +9,6 @@
 
 # A token is whole if it lacks no more than this rounding error.
 _WHOLE = 1 - _shares.EPSILON
-# Shortest tick that rates are measured over (s).
-_LEAST_TICK_S = 1e-3
 
 
 def create(self_name, wait=True, home_key=None):
@@ -160,7 +155,8 @@
     if len(state.members) < 2 or not _reports.outgrows(acct, now):
         return False
     msg = _reports.report(state, acct, now)
-    state.outbox += _deliver(state, [(acct.home, msg)], now)
+    acct.due = True  # the next tick reports the averages
+    state.outbox += _exchange.deliver(state, [(acct.home, msg)], now)
     filled = acct.tokens + (now - acct.tokens_at) * acct.rate
     return acct.running < acct.concurrent and filled >= _WHOLE
 
@@ -231,7 +227,7 @@
     acct.running -= 1
     if acct.running == acct.concurrent and _reports.is_released(acct):
         msg = _reports.report(state, acct, now)
-        state.outbox += _deliver(state, [(acct.home, msg)], now)
+        state.outbox += _exchange.deliver(state, [(acct.home, msg)], now)
 
 
 def demand(state, customer, waiting, now):
@@ -246,152 +242,3 @@
     if load > acct.peak:
         acct.peak = load
     state.active.add(customer)
-
-
-def on_tick(state, now):
-    """Measure the demand and return the messages that are due.
-
-    Called every `TICK_S`. The caller then asks `may_start` again for the
-    customers whose tasks wait.
-
-    Returns
-    -------
-    list of (str, QuotaRequest or QuotaGrant)
-        Messages with the names of the entries they go to.
-    """
-    if state.run is None:
-        return []
-    if now >= state.stale_at:
-        _account.restart(state, now)
-    elapsed = _state.TICK_S
-    if state.ticked_at is not None:
-        elapsed = max(now - state.ticked_at, _LEAST_TICK_S)
-    state.ticked_at = now
-    state.stale_at = now + _state.LEASE_S
-    out = _reports_due(state, elapsed, now)
-    remote = take_outbox(state) + _deliver(state, out, now)
-    for customer in sorted(state.homes):
-        acct = state.accounts.get(customer)
-        if acct is None or acct.ledger is None:
-            state.homes.discard(customer)
-        else:
-            remote += _deliver(state, _home.on_tick(state, acct, now), now)
-    return remote
-
-
-def take_outbox(state):
-    """Return the messages that should not wait for the next tick.
-
-    `may_start` leaves messages in `state.outbox` when it finds a demand above
-    the entry's share, and `ended` when a part of the limit becomes free for
-    other entries. `on_tick` returns them at the latest.
-
-    Returns
-    -------
-    list of (str, QuotaRequest or QuotaGrant)
-    """
-    out, state.outbox = state.outbox, []
-    return out
-
-
-def _reports_due(state, elapsed, now):
-    out = []
-    for customer in sorted(state.active):
-        acct = state.accounts[customer]
-        _account.advance(state, acct, now)
-        _reports.measure(acct, elapsed)
-        if _reports.is_due(acct, now):
-            out.append((acct.home, _reports.report(state, acct, now)))
-        elif _reports.is_idle(acct, now):
-            state.active.discard(customer)
-    return out
-
-
-def _deliver(state, out, now):
-    """Handle the messages to this entry itself; return the others."""
-    remote = []
-    queue = collections.deque(out)
-    while queue:
-        name, msg = queue.popleft()
-        if name == state.self_name:
-            queue.extend(_HANDLERS[type(msg)](state, name, msg, now))
-        else:
-            remote.append((name, msg))
-    return remote
-
-
-def _is_current(state, name, run):
-    """Tell whether a message comes from the present run of a peer."""
-    known = state.peer_runs.get(name)
-    if run == known:
-        return True
-    if run in state.past_runs[name]:
-        return False
-    state.peer_runs[name] = run
-    if known is not None:
-        state.past_runs[name].append(known)
-    return True
-
-
-def _check_run(state, name, run, now):
-    known = state.peer_runs.get(name)
-    if not _is_current(state, name, run):
-        return False
-    if known is None or known == run:
-        return True
-    for acct in state.accounts.values():
-        if acct.ledger is not None:
-            _ledger.member_restarted(state, acct, name, now)
-        if acct.home == name:
-            _account.leave_home(state, acct, now)
-    return True
-
-
-def _on_request(state, name, msg, now):
-    acct = _account.get(state, msg.customer, now)
-    if not _check_run(state, name, msg.run, now):
-        return []
-    if acct is None or acct.home != state.self_name:
-        return []
-    return _home.on_report(state, acct, name, msg, now)
-
-
-def _on_grant(state, name, msg, now):
-    acct = _account.get(state, msg.customer, now)
-    if not _check_run(state, name, msg.run, now):
-        return []
-    if acct is None or acct.home != name:
-        return []
-    if not _reports.apply_grant(state, acct, msg, now):
-        return []
-    return [(name, _reports.report(state, acct, now))]
-
-
-_HANDLERS = {
-    messages.QuotaRequest: _on_request,
-    messages.QuotaGrant: _on_grant,
-}
-
-
-def on_request(state, from_name, msg, now):
-    """Handle a report from an entry, as the customer's home.
-
-    The caller then asks `may_start` again for this customer.
-
-    Returns
-    -------
-    list of (str, QuotaRequest or QuotaGrant)
-    """
-    return _deliver(state, _on_request(state, from_name, msg, now), now)
-
-
-def on_grant(state, from_name, msg, now):
-    """Handle a lease or poll from the customer's home.
-
-    The caller then asks `may_start` again for this customer.
-
-    Returns
-    -------
-    list of (str, QuotaRequest or QuotaGrant)
-    """
-    return _deliver(state, _on_grant(state, from_name, msg, now), now)
--- a/azurepier/limits/_reports.py
+++ b/azurepier/limits/_reports.py
@@ -15,19 +15,25 @@
 # Shortest interval between reports of a growing demand before a tick (s).
 PRESS_S = 0.05
 # A lease that falls by less than this part is not worth a report.
-LOWERED = 0.01
-# A demand that grows by this factor is reported immediately.
-CHANGE = 1.5
-# What is left of the largest demand after one tick without it.
-PEAK_DECAY = 0.7
-# Weight of the last tick in the average rate of starts.
-RATE_WEIGHT = 0.5
-# Demand is reported with this much headroom.
-HEADROOM = 1.25
-# Waiting tasks are to be started within this time (s).
-DRAIN_S = 0.25
-# Average rates below this are no demand (starts/s).
-LEAST_RATE = 0.05
+LOWERED = 0.05
+# A report is sent before the next tick if the demand is this many times what
+# was reported, and by at least this many tasks more.
+GROWTH = 2.0
+GROWTH_TASKS = 4
+# How long a limit counts as scarce after a lease without a reserve (s).
+SCARCE_S = 3.0
+# Weight of the last tick in the averages of the demand, and that of a tick
+# without any.
+WEIGHT = 0.25
+IDLE_WEIGHT = 0.5
+# Run time that is assumed for tasks too short to be seen running (s).
+LEAST_TASK_S = 0.05
+# Averages below this are no demand.
+LEAST = 0.5
+# Tasks that wait are to be started within this time (s); a burst that is
+# reported before the next tick within the shorter one.
+DRAIN_S = 1.0
+BURST_DRAIN_S = 0.25
 
 
 def measure(acct, elapsed):
@@ -38,29 +44,45 @@
     acct : Account
     elapsed : float
         Length of the tick (s).
+
+    Notes
+    -----
+    Averages are used, since shares for the peaks of each entry leave much of
+    a scarce limit unused: of 100 running tasks, with 10 entries and 80 % of
+    the demand at one of them, 81 % were used with averages and 44 % with
+    peaks (`bench_limits`).
     """
+    limit = acct.limit
     load = acct.running + acct.waiting
-    peak = max(acct.peak, load, int(acct.load * PEAK_DECAY))
-    acct.load = min(peak, acct.limit.concurrent)
+    active = max(acct.peak, load) > 0
     acct.peak = load
-    rate = acct.starts / elapsed
+    most = max(limit.concurrent, limit.rate * DRAIN_S)
+    waiting = min(acct.waiting, most)
+    weight = WEIGHT if active else IDLE_WEIGHT
+    acct.mean_running += (acct.running - acct.mean_running) * weight
+    acct.mean_waiting += (waiting - acct.mean_waiting) * weight
+    acct.start_rate += (acct.starts / elapsed - acct.start_rate) * weight
     acct.starts = 0
-    acct.start_rate += (rate - acct.start_rate) * RATE_WEIGHT
-    if acct.start_rate < LEAST_RATE:
-        acct.start_rate = 0.0
-    estimate(acct)
+    if not active and acct.mean_running + acct.mean_waiting < LEAST:
+        acct.mean_running = acct.mean_waiting = acct.start_rate = 0.0
+    _set_wants(acct, active)
 
 
-def estimate(acct):
-    """Compute what the customer wants from its load and rate of starts."""
+def _set_wants(acct, active):
     limit = acct.limit
-    spare = int(acct.load * (HEADROOM - 1))
-    acct.want_concurrent = min(limit.concurrent, acct.load + spare)
-    if acct.load:
-        rate = acct.start_rate * HEADROOM + acct.waiting / DRAIN_S
-        acct.want_rate = min(limit.rate, rate)
-    else:
-        acct.want_rate = 0.0
+    rate = acct.start_rate + acct.mean_waiting / DRAIN_S
+    acct.want_rate = min(limit.rate, rate)
+    tasks = acct.mean_running
+    tasks += acct.mean_waiting * min(1.0, _task_s(acct) / DRAIN_S)
+    tasks = min(limit.concurrent, math.ceil(tasks))
+    acct.want_concurrent = max(tasks, 1) if active else tasks
+
+
+def _task_s(acct):
+    """Return the mean run time of the customer's tasks (s)."""
+    if not acct.start_rate:
+        return math.inf
+    return max(acct.mean_running / acct.start_rate, LEAST_TASK_S)
 
 
 def _needs_lease(acct):
@@ -71,16 +93,6 @@
     )
 
 
-def _grew(acct):
-    wants_more = (
-        acct.want_rate > acct.rate or acct.want_concurrent > acct.concurrent
-    )
-    return wants_more and (
-        acct.want_rate > acct.reported_rate * CHANGE
-        or acct.want_concurrent > acct.reported_concurrent * CHANGE
-    )
-
-
 def _ended(acct):
     return acct.reported_concurrent > 0 and not acct.want_concurrent
 
@@ -92,7 +104,7 @@
     if not leased and not _needs_lease(acct):
         # The home is told that nothing is wanted any more.
         return _ended(acct) if acct.answered else age >= RETRY_S
-    if acct.due or _grew(acct) or _ended(acct) or is_released(acct):
+    if acct.due or _ended(acct) or is_released(acct):
         return True
     return age >= (RENEW_S if acct.answered else RETRY_S)
 
@@ -110,8 +122,7 @@
 def is_idle(acct, now):
     """Tell whether the account needs no more attention in ticks."""
     return (
-        not acct.load
-        and not acct.start_rate
+        not acct.want_concurrent
         and acct.answered
         and acct.lease_until <= now
         and not acct.reported_concurrent
@@ -179,14 +190,31 @@
 
     Notes
     -----
-    Only a growth counts: when the limit itself is reached, the demand has
-    been reported and nothing is gained by asking more often.
+    Only a growth of the part that blocks counts. While the home lends no
+    more than was reported the limit is scarce, and it is divided by averages
+    alone.
     """
-    load = acct.running + max(acct.waiting, 1)
     acct.press_at = now + PRESS_S
-    acct.load = min(max(acct.load, load), acct.limit.concurrent)
-    estimate(acct)
-    return _grew(acct)
+    if now < acct.scarce_until:
+        return False
+    limit = acct.limit
+    waiting = max(acct.waiting, 1)
+    tasks = min(limit.concurrent, acct.running + waiting)
+    rate = min(limit.rate, acct.start_rate + waiting / BURST_DRAIN_S)
+    if acct.running < acct.concurrent:
+        tasks = 0
+    elif acct.rate:
+        rate = 0.0
+    first = not acct.reported_concurrent
+    more = 0 if first else GROWTH_TASKS
+    if (
+        tasks <= GROWTH * acct.reported_concurrent + more
+        and rate <= GROWTH * acct.reported_rate + more / BURST_DRAIN_S
+    ):
+        return False
+    acct.want_concurrent = max(acct.want_concurrent, tasks, 1)
+    acct.want_rate = max(acct.want_rate, rate)
+    return True
 
 
 def apply_grant(state, acct, msg, now):
@@ -196,7 +224,7 @@
     -------
     bool
         Whether a report is to be sent immediately: the home asked for it,
-        or lends what was given back only after it.
+        or waits for it before it lends a scarce part to another entry.
     """
     _account.advance(state, acct, now)
     if msg.sent_at <= acct.seen:
@@ -211,14 +239,21 @@
     if msg.echo not in acct.stamps or until <= now:
         return False
     _account.share(state, acct, now)
-    lowered = acct.lease_until > now and (
-        msg.rate < acct.lease_rate * (1 - LOWERED)
-        or msg.concurrent < acct.lease_concurrent
-    )
+    old = (0.0, 0)
+    if acct.lease_until > now:
+        old = acct.lease_rate, acct.lease_concurrent
     acct.lease_rate = msg.rate
     acct.lease_concurrent = msg.concurrent
     acct.lease_until = until if msg.concurrent or msg.rate else _state.NEVER
     _account.share(state, acct, now)
     acct.tokens = min(acct.cap, acct.tokens + msg.tokens)
     state.active.add(acct.customer)
-    return lowered
+    scarce = (
+        acct.rate <= acct.reported_rate,
+        acct.concurrent <= acct.reported_concurrent,
+    )
+    if any(scarce):
+        acct.scarce_until = now + SCARCE_S
+    return (scarce[0] and msg.rate < old[0] * (1 - LOWERED)) or (
+        scarce[1] and msg.concurrent < old[1]
+    )
--- a/azurepier/limits/_state.py
+++ b/azurepier/limits/_state.py
@@ -85,7 +85,7 @@
     target_concurrent: int = 0
     count_rate: float = 0.0
     count_concurrent: int = 0
-    left_at: float | None = None
+    left: bool = False
 
 
 @attrs.define
@@ -102,6 +102,7 @@
     count_rate: float = 0.0
     count_concurrent: int = 0
     busy_until: float = NEVER
+    tick_at: float = NEVER
     short: bool = False
     polled: set[str] = attrs.field(factory=set)
 
@@ -135,7 +136,8 @@
     # Demand.
     starts: int = 0
     peak: int = 0
-    load: int = 0
+    mean_running: float = 0.0
+    mean_waiting: float = 0.0
     start_rate: float = 0.0
     want_rate: float = 0.0
     want_concurrent: int = 0
@@ -152,6 +154,7 @@
     answered: bool = True
     due: bool = False
     press_at: float = NEVER
+    scarce_until: float = NEVER
     reported_rate: float = 0.0
     reported_concurrent: int = 0
     reported_running: int = 0
