Don't take a limit as scarce because an idle customer got no share

Cause: an idle customer asks for nothing and gets a lease of nothing, which counted as 'no more than was reported' and held back its next demand for up to 3 s.

Only what was asked for is compared now.

--- a/azurepier/limits/_reports.py
+++ b/azurepier/limits/_reports.py
@@ -248,9 +248,11 @@
     _account.share(state, acct, now)
     acct.tokens = min(acct.cap, acct.tokens + msg.tokens)
     state.active.add(acct.customer)
+    # Nothing was asked for while the customer was idle, so that a share of
+    # nothing says nothing about the limit.
     scarce = (
-        acct.rate <= acct.reported_rate,
-        acct.concurrent <= acct.reported_concurrent,
+        0 < acct.reported_rate >= acct.rate,
+        0 < acct.reported_concurrent >= acct.concurrent,
     )
     if any(scarce):
         acct.scarce_until = now + SCARCE_S
