Count returned minima before lending and prove runs by their answers

A customer that was quiet for more than 6 s was counted as when it was last busy. The first lease after that included the minima that idle entries had given up and got back meanwhile: one start too many at a limit of 200/s. A report now makes the home count anew if such a change is due.

Which process of a name is the present one was decided by the order of messages, so that a late message of a dead process could displace the living one for good and make the home forget its lease: up to one running task too many. A different run is now accepted only when it has answered a newer stamp than the run known so far. An entry that answers a new run of its home drops the grants of the earlier one that are still on their way.

--- a/azurepier/limits/_exchange.py
+++ b/azurepier/limits/_exchange.py
@@ -85,48 +85,53 @@
     return remote
 
 
-def _is_current(state, name, run):
-    """Tell whether a message comes from the present run of a peer."""
-    known = state.peer_runs.get(name)
-    if run == known:
-        return True
-    if run in state.past_runs[name]:
+def _is_current(state, name, msg, now):
+    """Tell whether a message comes from the present run of a peer.
+
+    Notes
+    -----
+    Late messages of a process that has ended may follow those of the next
+    one. A different run is accepted when it has answered a newer stamp of
+    this entry than the run known so far, which only a living one does.
+    """
+    peer = state.peers.get(name)
+    if peer is None:
+        state.peers[name] = _state.Peer(msg.run, msg.echo)
+    elif msg.run == peer.run:
+        peer.echo = max(peer.echo, msg.echo)
+    elif msg.echo > peer.echo:
+        state.peers[name] = _state.Peer(msg.run, msg.echo)
+        _forget_run(state, name, now)
+    else:
         return False
-    state.peer_runs[name] = run
-    if known is not None:
-        state.past_runs[name].append(known)
     return True
 
 
-def _check_run(state, name, run, now):
-    known = state.peer_runs.get(name)
-    if not _is_current(state, name, run):
-        return False
-    if known is None or known == run:
-        return True
+def _forget_run(state, name, now):
     for acct in state.accounts.values():
         if acct.ledger is not None:
             _ledger.member_restarted(state, acct, name, now)
         if acct.home == name:
             _account.leave_home(state, acct, now)
-    return True
 
 
 def _on_request(state, name, msg, now):
     acct = _account.get(state, msg.customer, now)
-    if not _check_run(state, name, msg.run, now):
-        return []
+    current = _is_current(state, name, msg, now)
     if acct is None or acct.home != state.self_name:
         return []
+    if not current:
+        return [(name, _home.poll(state, acct, msg.sent_at, now))]
     return _home.on_report(state, acct, name, msg, now)
 
 
 def _on_grant(state, name, msg, now):
     acct = _account.get(state, msg.customer, now)
-    if not _check_run(state, name, msg.run, now):
-        return []
+    current = _is_current(state, name, msg, now)
     if acct is None or acct.home != name:
         return []
+    if not current:
+        return [(name, _reports.answer(state, acct, msg, now))]
     if not _reports.apply_grant(state, acct, msg, now):
         return []
     return [(name, _reports.report(state, acct, now))]
@@ -146,13 +151,6 @@
     Returns
     -------
     list of (str, QuotaRequest or QuotaGrant)
-
-    Notes
-    -----
-    The messages of one run of an entry may arrive late, repeated or in any
-    order, but not after those of its next run, unless this entry received
-    others from the earlier run before: connections of an earlier run are
-    closed when the next one is accepted.
     """
     return deliver(state, _on_request(state, from_name, msg, now), now)
 
--- a/azurepier/limits/_home.py
+++ b/azurepier/limits/_home.py
@@ -164,8 +164,14 @@
 
 def _poll(state, acct, member, now):
     member.polled_at = now
-    member.poll_stamp = _state.next_stamp(state, now)
-    member.stamps.append(member.poll_stamp)
+    msg = poll(state, acct, member.sent_at, now)
+    member.poll_stamp = msg.sent_at
+    member.stamps.append(msg.sent_at)
+    return msg
+
+
+def poll(state, acct, echo, now):
+    """Return a message that asks for a report and leaves leases alone."""
     return messages.QuotaGrant(
         customer=acct.customer,
         rate=0.0,
@@ -173,8 +179,8 @@
         ttl_ms=0,
         tokens=0.0,
         run=state.run,
-        sent_at=member.poll_stamp,
-        echo=member.sent_at,
+        sent_at=_state.next_stamp(state, now),
+        echo=echo,
     )
 
 
@@ -208,7 +214,8 @@
     if _is_silent_answer(member, msg, before, wants) and not waited:
         return _after_polls(state, acct, name, now)
     freed = (
-        member.count_rate < counted[0] or member.count_concurrent < counted[1]
+        member.count_rate < counted[0] * (1 - PUSH_CHANGE)
+        or member.count_concurrent < counted[1]
     )
     changed = waited or _differ(before, wants) or (freed and ledger.short)
     if changed or _differ(wants, before):
@@ -346,5 +353,5 @@
     out += _polls(state, acct, now)
     if not out and not ledger.unheard:
         quiet = now + QUIET_S - _state.TICK_S / 2
-        ledger.tick_at = min(quiet, _ledger.next_end(ledger, now))
+        ledger.tick_at = min(quiet, ledger.counted_until, ledger.shrinks_at)
     return out
--- a/azurepier/limits/_ledger.py
+++ b/azurepier/limits/_ledger.py
@@ -139,28 +139,19 @@
     floor = assumed_minimum(state, acct, now)
     total_rate = 0.0
     total_concurrent = 0
+    ledger.counted_until = ledger.shrinks_at = math.inf
     for member in ledger.members.values():
         rate, concurrent = _count(member, floor, now)
         member.count_rate = rate
         member.count_concurrent = concurrent
         total_rate += rate
         total_concurrent += concurrent
+        _note_ends(ledger, member, now)
     ledger.count_rate = total_rate
     ledger.count_concurrent = total_concurrent
     _fill_pool(acct, now)
 
 
-def next_end(ledger, now):
-    """Return when the next lease ends for the home (s)."""
-    ends = (
-        lease.until
-        for member in ledger.members.values()
-        for lease in member.leases
-        if lease.until > now
-    )
-    return min(ends, default=math.inf)
-
-
 def heard(ledger, names, now):
     """Wait no longer for reports of `names`; the bucket fills from now."""
     if not ledger.unheard.isdisjoint(names):
@@ -168,6 +159,22 @@
         ledger.tokens_at = now
 
 
+def _note_ends(ledger, member, now):
+    """Note when what a member may use changes without a report.
+
+    Notes
+    -----
+    It grows when the member may use its minimum again, which has to be known
+    before the next lease; when a lease ends, it shrinks.
+    """
+    end = member.kept_until - LEASE_COUNTED_S
+    if now < end < ledger.counted_until:
+        ledger.counted_until = end
+    for lease in member.leases:
+        if now < lease.until < ledger.shrinks_at:
+            ledger.shrinks_at = lease.until
+
+
 def count_again(state, acct, member, now):
     """Count anew what one member may use."""
     ledger = acct.ledger
@@ -206,7 +213,11 @@
         if lease.sent_at > msg.echo and lease.echo > ended
     ]
     heard(ledger, {name}, now)
-    count_again(state, acct, member, now)
+    _note_ends(ledger, member, now)
+    if now >= ledger.counted_until:
+        recount(state, acct, now)
+    else:
+        count_again(state, acct, member, now)
 
 
 def _lease_in_force(msg, now):
--- a/azurepier/limits/_reports.py
+++ b/azurepier/limits/_reports.py
@@ -49,7 +49,7 @@
     -----
     Averages are used, since shares for the peaks of each entry leave much of
     a scarce limit unused: of 100 running tasks, with 10 entries and 80 % of
-    the demand at one of them, 81 % were used with averages and 44 % with
+    the demand at one of them, 80 % were used with averages and 44 % with
     peaks (`bench_limits`).
     """
     limit = acct.limit
@@ -185,6 +185,22 @@
     )
 
 
+def answer(state, acct, msg, now):
+    """Return a report that answers a message without accepting it.
+
+    Notes
+    -----
+    If its sender is a new run of the home, it counts on the report alone.
+    Grants that an earlier run has sent become void.
+    """
+    seen = acct.seen, acct.seen_time
+    acct.stamps.clear()
+    acct.seen, acct.seen_time = msg.sent_at, now
+    out = report(state, acct, now)
+    acct.seen, acct.seen_time = seen
+    return out
+
+
 def outgrows(acct, now):
     """Tell whether a blocked demand is to be reported before the next tick.
 
--- a/azurepier/limits/_state.py
+++ b/azurepier/limits/_state.py
@@ -26,7 +26,6 @@
 # Messages whose stamps are remembered, so that answers to them are known
 # from answers to an earlier run or to another home.
 _STAMPS = 64
-_PAST_RUNS = 4  # earlier runs of a peer whose late messages are recognised
 
 
 @attrs.frozen
@@ -103,6 +102,8 @@
     count_concurrent: int = 0
     busy_until: float = NEVER
     tick_at: float = NEVER
+    counted_until: float = NEVER
+    shrinks_at: float = NEVER
     short: bool = False
     polled: set[str] = attrs.field(factory=set)
 
@@ -161,10 +162,15 @@
     ledger: Ledger | None = None
 
 
-def _past_runs():
-    return collections.defaultdict(
-        lambda: collections.deque(maxlen=_PAST_RUNS)
-    )
+@attrs.define
+class Peer:
+    """The run of another entry that messages are accepted from.
+
+    `echo` is the newest stamp of this entry that the run has answered.
+    """
+
+    run: float
+    echo: float
 
 
 @attrs.define
@@ -201,13 +207,12 @@
     held_until: float = NEVER
     low_count: int = 0
     low_until: float = NEVER
-    # This run, and the current and earlier runs of the peers.
+    # This run and those of the peers.
     run: float | None = None
     stamp: float = NEVER
     ticked_at: float | None = None
     stale_at: float = math.inf
-    peer_runs: dict[str, float] = attrs.field(factory=dict)
-    past_runs: dict = attrs.field(factory=_past_runs)
+    peers: dict[str, Peer] = attrs.field(factory=dict)
 
 
 def next_stamp(state, now):
