Test that an answer to a new home voids older grants

Cause: removing the rule from a copy of the code made no test fail. The test sends the grant of a home's earlier run after the entry has answered the next one; it fails without the rule.

--- a/azurepier/limits/tests/test_messages.py
+++ b/azurepier/limits/tests/test_messages.py
@@ -267,7 +267,7 @@
             assert grant.tokens < 1
 
 
-def _grant(member, now, echo, concurrent=30, sent_at=None):
+def _grant(member, now, echo, concurrent=30, sent_at=None, run=7.0):
     home = member.accounts['a'].home
     grant = messages.QuotaGrant(
         customer='a',
@@ -275,7 +275,7 @@
         concurrent=concurrent,
         ttl_ms=2000,
         tokens=100.0,
-        run=7.0,
+        run=run,
         sent_at=sent_at or now,
         echo=echo,
     )
@@ -319,6 +319,15 @@
         _grant(state, START + 0.9, echo, concurrent=30)
         assert limits.allowance(state, 'a', START + 0.9) == FLOOR + 10
 
+    def test_answer_to_a_new_home_voids_older_grants(self):
+        # Guards against a late lease of a home that has ended, which the
+        # next run of the home does not know of.
+        state, echo = _member()
+        _grant(state, START + 0.3, 0.0)
+        assert len(_grant(state, START + 0.4, 0.0, run=8.0)) == 1
+        _grant(state, START + 0.5, echo)
+        assert limits.allowance(state, 'a', START + 0.5) == FLOOR
+
     def test_reports_when_a_part_becomes_free(self):
         # Guards against a part of a small limit that nobody may use until
         # the next tick.
