--- a/azurepier/daemon/__init__.py
+++ b/azurepier/daemon/__init__.py
@@ -1,13 +1,21 @@
 """The daemon: settings, logs, metrics and the shell around a node."""
 
-from azurepier.daemon._endpoint import start_endpoint
-from azurepier.daemon._entry import start_entry
-from azurepier.daemon._main import main
-from azurepier.daemon._process import Process
-from azurepier.daemon._settings import EndpointSettings
-from azurepier.daemon._settings import EntrySettings
-from azurepier.daemon._settings import load as load_settings
-from azurepier.daemon._shell import Shell
+from azurepier import _lazy
+
+# Processes import only what they use: the classes of all messages and
+# events together take 0.1 s and 9 MB.
+_SOURCES = {
+    'EndpointSettings': 'azurepier.daemon._settings:EndpointSettings',
+    'EntrySettings': 'azurepier.daemon._settings:EntrySettings',
+    'Process': 'azurepier.daemon._process:Process',
+    'Shell': 'azurepier.daemon._shell:Shell',
+    'load_settings': 'azurepier.daemon._settings:load',
+    'main': 'azurepier.daemon._main:main',
+    'start_endpoint': 'azurepier.daemon._endpoint:start_endpoint',
+    'start_entry': 'azurepier.daemon._entry:start_entry',
+}
+
+__getattr__ = _lazy.loader(__name__, _SOURCES)
 
 __all__ = [
     'EndpointSettings',
--- a/azurepier/daemon/_http.py
+++ b/azurepier/daemon/_http.py
@@ -134,7 +134,7 @@
     limit: int
     _idle: collections.deque = attrs.field(factory=collections.deque)
 
-    async def call(self, method, path, body=b''):
+    async def call(self, method, path, body=b'', headers=None):
         """Make one request; it is never repeated.
 
         Parameters
@@ -144,6 +144,7 @@
             Must not contain characters that need to be quoted.
         body : bytes, optional
             JSON.
+        headers : dict of str to str, optional
 
         Returns
         -------
@@ -158,9 +159,12 @@
             If the connection failed after that, or the answer is malformed
             or too long.
         """
+        extra = ''.join(
+            f'{name}: {value}\r\n' for name, value in (headers or {}).items()
+        )
         head = (
             f'{method} {path} HTTP/1.1\r\nhost: {self.host}:{self.port}\r\n'
-            'content-type: application/json\r\n'
+            f'content-type: application/json\r\n{extra}'
             f'content-length: {len(body)}\r\n\r\n'
         )
         request = head.encode() + body
--- a/azurepier/daemon/_logs.py
+++ b/azurepier/daemon/_logs.py
@@ -17,6 +17,7 @@
 
 _FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
 _RENAMED = {'asctime': 'time', 'levelname': 'level', 'message': 'event'}
+_STREAMS = {'-': 'stderr', 'stdout': 'stdout'}
 _IDENTITY = ('peer', 'address', 'reason', 'error')
 
 
@@ -77,7 +78,12 @@
 
 
 def make_handler(path):
-    """Return a log handler; "-" is standard error.
+    """Return a log handler.
+
+    Parameters
+    ----------
+    path : str
+        File, "-" for standard error or "stdout" for standard output.
 
     Raises
     ------
@@ -85,8 +91,8 @@
         If the file can't be opened.
     """
     try:
-        if path == '-':
-            handler = logging.StreamHandler(sys.stderr)
+        if path in _STREAMS:
+            handler = logging.StreamHandler(getattr(sys, _STREAMS[path]))
         else:
             handler = logging.FileHandler(path)
     except OSError as exc:
--- a/azurepier/daemon/_shell.py
+++ b/azurepier/daemon/_shell.py
@@ -5,7 +5,6 @@
 
 import attrs
 
-from azurepier import config
 from azurepier.daemon import _logs
 from azurepier import kernel
 from azurepier.kernel import effects
@@ -212,6 +211,9 @@
 
     def config_json(self):
         """Return the configuration in force as JSON bytes."""
+        # Only the processes with the project's own lists need the package.
+        from azurepier import config
+
         return config.to_json(self.node.adoption.current)
 
     def stop(self):
@@ -254,6 +256,16 @@
         conn.close('closed by the node')
 
 
+def _abort(shell, effect):
+    conn = shell.conns.pop(effect.conn, None)
+    if conn is not None:
+        conn.abort('given up by the node')
+
+
+def _note(shell, effect):
+    _log.info(effect.event, **effect.fields)
+
+
 def _answer(shell, effect):
     answer = shell.waiting.get(effect.req)
     if answer is not None and not answer.done():
@@ -272,6 +284,8 @@
     effects.Send: _send,
     effects.Dial: _dial,
     effects.Close: _close,
+    effects.Abort: _abort,
+    effects.Note: _note,
     effects.Answer: _answer,
     effects.Record: _record,
     effects.ReadPlatform: _no_op,
--- /dev/null
+++ b/azurepier/dispatch/__init__.py
@@ -0,0 +1,48 @@
+"""Entries that place tasks by the resources of endpoints.
+
+Every entry owns the jobs that its callers submit and dispatches them itself;
+the endpoint processes (`azurepier.runner`) admit, since only they know the
+room of their workers exactly.
+"""
+
+from azurepier import _lazy
+
+_SOURCES = {
+    'Finished': 'azurepier.dispatch._model:Finished',
+    'JobRequest': 'azurepier.dispatch._model:JobRequest',
+    'Needs': 'azurepier.dispatch._model:Needs',
+    'Options': 'azurepier.dispatch._state:Options',
+    'Queue': 'azurepier.dispatch._model:Queue',
+    'Rejected': 'azurepier.dispatch._model:Rejected',
+    'Routing': 'azurepier.dispatch._model:Routing',
+    'RoutingSeen': 'azurepier.dispatch._node:RoutingSeen',
+    'Submit': 'azurepier.dispatch._model:Submit',
+    'bounds': 'azurepier.dispatch._bounds',
+    'create': 'azurepier.dispatch._node:create',
+    'find_queue': 'azurepier.dispatch._model:find_queue',
+    'handle': 'azurepier.dispatch._node:handle',
+    'is_ready': 'azurepier.dispatch._node:is_ready',
+    'pending': 'azurepier.dispatch._node:pending',
+    'status': 'azurepier.dispatch._node:status',
+}
+
+__getattr__ = _lazy.loader(__name__, _SOURCES)
+
+__all__ = [
+    'Finished',
+    'JobRequest',
+    'Needs',
+    'Options',
+    'Queue',
+    'Rejected',
+    'Routing',
+    'RoutingSeen',
+    'Submit',
+    'bounds',
+    'create',
+    'find_queue',
+    'handle',
+    'is_ready',
+    'pending',
+    'status',
+]
--- /dev/null
+++ b/azurepier/dispatch/_placement.py
@@ -0,0 +1,83 @@
+"""Choice of an endpoint for a task.
+
+Load pattern: endpoints whose speeds differ by a factor of two to three. A
+task that is too long for a slow endpoint waits for a faster one while it can
+still be on time there; a short one uses what is free. Endpoints on which
+several tasks of different jobs failed in a row get a single task from time
+to time until one succeeds.
+"""
+
+# Failed tasks of distinct jobs in a row after which an endpoint is avoided.
+FAILURES_MAX = 3
+# How long an endpoint is avoided before the next trial (s).
+AVOIDED_S = 1.0
+# Time of the messages that a start and its end take (s).
+MESSAGES_S = 0.02
+# Spread of equally good endpoints, so that entries choose different ones.
+JITTER = 0.05
+
+
+def fits(endpoint, needs):
+    """Tell whether the endpoint has the room now."""
+    return (
+        endpoint.free_cpu >= needs.cpu
+        and endpoint.free_mem_mb >= needs.mem_mb
+        and endpoint.free_gpu >= needs.gpu
+    )
+
+
+def could_fit(endpoint, needs):
+    """Tell whether the endpoint has the room when it is empty."""
+    return (
+        endpoint.cpu >= needs.cpu
+        and endpoint.mem_mb >= needs.mem_mb
+        and endpoint.gpu >= needs.gpu
+        and (not needs.label or needs.label in endpoint.labels)
+    )
+
+
+def is_open(endpoint, now):
+    """Tell whether the endpoint may get tasks at all."""
+    return (
+        endpoint.conn is not None
+        and endpoint.accepting
+        and now >= endpoint.blocked_until
+    )
+
+
+def choose(endpoints, job, now, rng):
+    """Return the endpoint for the next task of a job, or None.
+
+    Parameters
+    ----------
+    endpoints : list of Endpoint
+        Open endpoints of the job's pool.
+    job : Job
+    now : float
+    rng : random.Random
+    """
+    needs = job.spec.needs
+    limit = job.spec.max_per_worker
+    able = [
+        endpoint
+        for endpoint in endpoints
+        if fits(endpoint, needs)
+        and (not needs.label or needs.label in endpoint.labels)
+        and (not limit or endpoint.per_job[job.spec.id] < limit)
+    ]
+    if not able:
+        return None
+    left = job.objective_at - now - MESSAGES_S
+
+    def run_time(endpoint):
+        return job.work_s / endpoint.speed
+
+    best = min(
+        able, key=lambda each: run_time(each) * (1 + JITTER * rng.random())
+    )
+    if run_time(best) <= left:
+        return best
+    fastest = max(endpoint.speed for endpoint in endpoints)
+    if job.work_s / fastest <= left:
+        return None
+    return best
--- /dev/null
+++ b/azurepier/dispatch/_runs.py
@@ -0,0 +1,206 @@
+"""Starts, stops and ends of runs, and what they mean for their jobs."""
+
+from azurepier.dispatch import _model
+from azurepier.dispatch import _placement
+from azurepier.dispatch import _state
+from azurepier.kernel import effects
+from azurepier.kernel import messages
+from azurepier.kernel import Status
+
+# Pause before a task is tried again after an endpoint refused it because an
+# earlier run of the task is still there (s).
+BUSY_PAUSE_S = 0.1
+# Distinct endpoints on which a task has to fail before its job fails, as
+# long as there are so many.
+FAILED_ENDPOINTS = 2
+
+_NOT_RUN = frozenset({Status.REFUSED, Status.LEAVING})
+
+
+def reserve(endpoint, needs):
+    """Take a task's needs off what an endpoint has free."""
+    endpoint.free_cpu -= needs.cpu
+    endpoint.free_mem_mb -= needs.mem_mb
+    endpoint.free_gpu -= needs.gpu
+
+
+def release(endpoint, needs):
+    """Undo `reserve`."""
+    endpoint.free_cpu += needs.cpu
+    endpoint.free_mem_mb += needs.mem_mb
+    endpoint.free_gpu += needs.gpu
+
+
+def start(node, endpoint, job, now):
+    """Start the next waiting task of a job on an endpoint."""
+    task = job.waiting.pop()
+    task.starts += 1
+    seq = endpoint.next_seq
+    endpoint.next_seq += 1
+    expected_end = now + job.work_s / endpoint.speed
+    needs = job.spec.needs
+    run = _state.Run(seq, task, task.name, needs, now, expected_end)
+    task.run = run
+    endpoint.runs[seq] = run
+    endpoint.per_job[job.spec.id] += 1
+    node.running_names[task.name] += 1
+    job.running.add((endpoint.incarnation, seq))
+    job.begun = True
+    reserve(endpoint, needs)
+    order = messages.RunOrder(
+        seq=seq,
+        task=task.name,
+        attempt=task.starts,
+        spec=job.spec.spec,
+        cpu=needs.cpu,
+        mem_mb=needs.mem_mb,
+        gpu=needs.gpu,
+        expected_ms=job.spec.declared_ms,
+    )
+    node.orders.setdefault(endpoint.conn, []).append(order)
+    node.count('starts')
+    if endpoint.failures >= _placement.FAILURES_MAX:
+        endpoint.blocked_until = now + _placement.AVOIDED_S
+
+
+def flush(node):
+    """Return the messages that carry the orders of a pass."""
+    out = [
+        effects.Send(conn, messages.RunOrders(orders=orders))
+        for conn, orders in node.orders.items()
+    ]
+    node.orders.clear()
+    return out
+
+
+def stop_all(node, job):
+    """Stop all runs of a job that nobody waits for any more."""
+    stops = {}
+    for incarnation, seq in job.running:
+        endpoint = node.endpoints[incarnation]
+        run = endpoint.runs[seq]
+        run.task = None
+        run.stopping = True
+        if endpoint.conn is not None:
+            stops.setdefault(endpoint.conn, []).append(seq)
+    job.running.clear()
+    return [
+        effects.Send(conn, messages.RunStops(seqs=seqs))
+        for conn, seqs in stops.items()
+    ]
+
+
+def finish(node, job, body, now):
+    """Answer a job's caller and forget the job."""
+    out = abandon(node, job)
+    out.append(effects.Answer(job.req, body))
+    fields = {
+        'job_id': job.spec.id,
+        'queue': job.queue.name,
+        'ms': round((now - job.received_at) * 1000),
+        'objective_ms': round((job.objective_at - job.received_at) * 1000),
+    }
+    if isinstance(body, _model.Finished):
+        outcome = 'succeeded' if body.succeeded else 'failed'
+        out.append(effects.Note('job_ended', {**fields, 'outcome': outcome}))
+        node.count(f'jobs_{outcome}')
+    else:
+        fields['retry_after_s'] = body.retry_after_s
+        out.append(
+            effects.Note('job_rejected', {**fields, 'reason': body.reason})
+        )
+        node.count(f'rejected_{body.reason}')
+    return out
+
+
+def abandon(node, job):
+    """Stop a job's runs and forget it; return the effects."""
+    out = stop_all(node, job)
+    job.ended = True
+    job.waiting.clear()
+    del node.jobs[job.req]
+    node.dirty = True
+    return out
+
+
+def end(node, endpoint, run, status, reason, now):
+    """Process the end of a run.
+
+    Parameters
+    ----------
+    node : Entry
+    endpoint : Endpoint
+    run : Run
+    status : Status
+    reason : str
+        For the log.
+    now : float
+    """
+    del endpoint.runs[run.seq]
+    release(endpoint, run.needs)
+    node.running_names[run.name] -= 1
+    if node.running_names[run.name] <= 0:
+        del node.running_names[run.name]
+    node.dirty = True
+    task = run.task
+    out = []
+    if status is not Status.DONE:
+        fields = {
+            'task': run.name,
+            'endpoint': endpoint.name,
+            'status': status.name.lower(),
+            'reason': reason,
+            'ms': round((now - run.sent_at) * 1000),
+        }
+        out.append(effects.Note('run_not_done', fields))
+        node.count(f'runs_{status.name.lower()}')
+    if task is None:
+        return out
+    job = task.job
+    job.running.discard((endpoint.incarnation, run.seq))
+    endpoint.per_job[job.spec.id] -= 1
+    if endpoint.per_job[job.spec.id] <= 0:
+        del endpoint.per_job[job.spec.id]
+    task.run = None
+    return out + _ON_STATUS.get(status, _again)(
+        node, endpoint, task, reason, now
+    )
+
+
+def _done(node, endpoint, task, reason, now):
+    job = task.job
+    task.done = True
+    job.remaining -= 1
+    if job.remaining:
+        return []
+    return finish(node, job, _model.Finished(True), now)
+
+
+def _failed(node, endpoint, task, reason, now):
+    """Try a failed task again unless it seems to be its own fault."""
+    job = task.job
+    task.failures += 1
+    task.failed_at = (*task.failed_at, endpoint.name)
+    others = sum(
+        1
+        for each in node.endpoints.values()
+        if each.conn is not None and each.pool == job.queue.pool
+    )
+    places = len(set(task.failed_at))
+    if task.failures >= job.queue.max_attempts and places >= min(
+        FAILED_ENDPOINTS, others
+    ):
+        return finish(node, job, _model.Finished(False), now)
+    return _again(node, endpoint, task, reason, now)
+
+
+def _again(node, endpoint, task, reason, now):
+    """Let a task wait again."""
+    if reason == 'already_there':
+        task.not_before = now + BUSY_PAUSE_S
+        node.timers.set('pass', task.not_before)
+    task.job.waiting.append(task)
+    return []
+
+
+_ON_STATUS = {Status.DONE: _done, Status.FAILED: _failed}
--- /dev/null
+++ b/azurepier/dispatch/_state.py
@@ -0,0 +1,218 @@
+"""State of an entry that dispatches to pools of endpoints."""
+
+import collections
+
+import attrs
+
+from azurepier.kernel import Timers
+
+
+@attrs.frozen
+class Options:
+    """Settings of an entry.
+
+    Parameters
+    ----------
+    name, domain : str
+    address : str
+        Where endpoints and other entries connect, "host:port".
+    seeds : tuple of str
+        Addresses of entries that may be known from the start.
+    bounds : Bounds
+    """
+
+    name: str
+    domain: str
+    address: str
+    seeds: tuple
+    bounds: object
+
+
+@attrs.define(eq=False)
+class Task:
+    """One task of a job."""
+
+    job: object
+    index: int
+    name: str
+    starts: int = 0
+    failures: int = 0
+    failed_at: tuple = ()
+    run: object = None
+    done: bool = False
+    # The task is not started before this time (s).
+    not_before: float = 0.0
+
+
+@attrs.define(eq=False)
+class Job:
+    """A job that was accepted and has not ended.
+
+    Parameters
+    ----------
+    req : int
+        The caller's request.
+    queue : Queue
+    spec : JobRequest
+    received_at : float
+        Time of arrival (s).
+    work_s : float
+        Expected run time of a task on a worker of speed 1.
+    objective_at : float
+        When the answer is due (s).
+    """
+
+    req: int
+    queue: object
+    spec: object
+    received_at: float
+    work_s: float
+    objective_at: float
+    waiting: list = attrs.field(factory=list)
+    running: set = attrs.field(factory=set)
+    remaining: int = 0
+    begun: bool = False
+    ended: bool = False
+
+
+@attrs.define(eq=False)
+class Run:
+    """One start of a task on an endpoint.
+
+    Parameters
+    ----------
+    seq : int
+        Number on the pair of processes.
+    task : Task or None
+        None after the job has ended: only the end of the run matters.
+    name : str
+        The task's name.
+    needs : Needs
+    sent_at, expected_end : float
+        Time (s).
+    """
+
+    seq: int
+    task: object
+    name: str
+    needs: object
+    sent_at: float
+    expected_end: float
+    stopping: bool = False
+
+
+@attrs.define(eq=False)
+class Endpoint:
+    """What an entry knows of one endpoint process.
+
+    Attributes
+    ----------
+    conn : int or None
+    over_at : float or None
+        While the connection is lost: when nothing that was started through
+        it can be running any more (s).
+    free_cpu, free_mem_mb, free_gpu : int
+        Reported as free, less what the endpoint has not seen yet.
+    """
+
+    name: str
+    incarnation: str
+    domain: str
+    conn: int | None = None
+    pool: str = ''
+    labels: frozenset = frozenset()
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    free_cpu: int = 0
+    free_mem_mb: int = 0
+    free_gpu: int = 0
+    accepting: bool = False
+    speed: float = 1.0
+    failures: int = 0
+    blocked_until: float = 0.0
+    last_heard: float = 0.0
+    over_at: float | None = None
+    next_seq: int = 1
+    runs: dict = attrs.field(factory=dict)
+    per_job: collections.Counter = attrs.field(factory=collections.Counter)
+
+
+@attrs.define(eq=False)
+class Peer:
+    """Another entry."""
+
+    name: str
+    address: str
+    conn: int
+    last_heard: float
+    config_version: int = -1
+
+
+@attrs.define(eq=False)
+class Entry:
+    """An entry.
+
+    Attributes
+    ----------
+    jobs : dict of int to Job
+        By the caller's request.
+    endpoints : dict of str to Endpoint
+        By incarnation.
+    lingering : collections.Counter
+        Number of runs of tasks, by the task's name, whose job has ended.
+    alive_at : float
+        When the process last did anything (s).
+    """
+
+    options: Options
+    incarnation: str
+    rng: object
+    started_at: float
+    alive_at: float
+    timers: Timers = attrs.field(factory=Timers)
+    jobs: dict = attrs.field(factory=dict)
+    queue_of: dict = attrs.field(factory=dict)
+    endpoints: dict = attrs.field(factory=dict)
+    by_conn: dict = attrs.field(factory=dict)
+    peers: dict = attrs.field(factory=dict)
+    addresses: dict = attrs.field(factory=dict)
+    running_names: collections.Counter = attrs.field(
+        factory=collections.Counter
+    )
+    routing: object = None
+    draining_since: float | None = None
+    dirty: bool = False
+    orders: dict = attrs.field(factory=dict)
+    counters: collections.Counter = attrs.field(factory=collections.Counter)
+    waits: object = None
+
+    @property
+    def draining(self):
+        """Whether the process was asked to stop."""
+        return self.draining_since is not None
+
+    def count(self, name, number=1):
+        """Add to a counter that the metrics show."""
+        self.counters[name] += number
+
+    def hello(self, session):
+        """Return the first message on a new connection."""
+        from azurepier.kernel import messages
+
+        return messages.Hello(
+            protocol=1,
+            role='entry',
+            name=self.options.name,
+            incarnation=self.incarnation,
+            session=session,
+            domain=self.options.domain,
+            address=self.options.address,
+            web_address='',
+            config_version=config_version(self),
+        )
+
+
+def config_version(node):
+    """Return the version of the configuration in force, -1 for none."""
+    return -1 if node.routing is None else node.routing.version
--- a/azurepier/kernel/__init__.py
+++ b/azurepier/kernel/__init__.py
@@ -1,36 +1,44 @@
 """What all nodes share: messages, events, effects, ids, verdicts, errors."""
 
-from azurepier.kernel._batches import batches
-from azurepier.kernel import _effects as effects
-from azurepier.kernel._errors import AzurepierError
-from azurepier.kernel._errors import ConflictError
-from azurepier.kernel._errors import InvalidInputError
-from azurepier.kernel._errors import PlatformError
-from azurepier.kernel._errors import SettingsError
-from azurepier.kernel._errors import UnknownPluginError
-from azurepier.kernel._errors import WireError
-from azurepier.kernel import _events as events
-from azurepier.kernel import _ids as ids
-from azurepier.kernel._job import Accepted
-from azurepier.kernel._job import AnyAnswer
-from azurepier.kernel._job import BATCH_BYTES
-from azurepier.kernel._job import Complete
-from azurepier.kernel._job import ERROR_TYPES
-from azurepier.kernel._job import Ids
-from azurepier.kernel._job import JobSpec
-from azurepier.kernel._job import MAX_ANSWER_BYTES
-from azurepier.kernel._job import MAX_DEADLINE_MS
-from azurepier.kernel._job import MAX_JOB_BYTES
-from azurepier.kernel._job import MAX_PAYLOAD_BYTES
-from azurepier.kernel._job import MAX_TASKS
-from azurepier.kernel._job import Refused
-from azurepier.kernel._job import TaskSpec
-from azurepier.kernel import _registry as registry
-from azurepier.kernel._timers import Timers
-from azurepier.kernel._verdict import Status
-from azurepier.kernel._verdict import Verdict
-from azurepier.kernel._verdict import VERDICT_OF_STATUS
-from azurepier.wire.gen.messages import ttypes as messages
+from azurepier import _lazy
+
+# Processes import only what they use: the classes of all messages and
+# events together take 0.1 s and 9 MB.
+_SOURCES = {
+    'Accepted': 'azurepier.kernel._job:Accepted',
+    'AnyAnswer': 'azurepier.kernel._job:AnyAnswer',
+    'AzurepierError': 'azurepier.kernel._errors:AzurepierError',
+    'BATCH_BYTES': 'azurepier.kernel._job:BATCH_BYTES',
+    'Complete': 'azurepier.kernel._job:Complete',
+    'ConflictError': 'azurepier.kernel._errors:ConflictError',
+    'ERROR_TYPES': 'azurepier.kernel._job:ERROR_TYPES',
+    'Ids': 'azurepier.kernel._job:Ids',
+    'InvalidInputError': 'azurepier.kernel._errors:InvalidInputError',
+    'JobSpec': 'azurepier.kernel._job:JobSpec',
+    'MAX_ANSWER_BYTES': 'azurepier.kernel._job:MAX_ANSWER_BYTES',
+    'MAX_DEADLINE_MS': 'azurepier.kernel._job:MAX_DEADLINE_MS',
+    'MAX_JOB_BYTES': 'azurepier.kernel._job:MAX_JOB_BYTES',
+    'MAX_PAYLOAD_BYTES': 'azurepier.kernel._job:MAX_PAYLOAD_BYTES',
+    'MAX_TASKS': 'azurepier.kernel._job:MAX_TASKS',
+    'PlatformError': 'azurepier.kernel._errors:PlatformError',
+    'Refused': 'azurepier.kernel._job:Refused',
+    'SettingsError': 'azurepier.kernel._errors:SettingsError',
+    'Status': 'azurepier.kernel._verdict:Status',
+    'TaskSpec': 'azurepier.kernel._job:TaskSpec',
+    'Timers': 'azurepier.kernel._timers:Timers',
+    'UnknownPluginError': 'azurepier.kernel._errors:UnknownPluginError',
+    'VERDICT_OF_STATUS': 'azurepier.kernel._verdict:VERDICT_OF_STATUS',
+    'Verdict': 'azurepier.kernel._verdict:Verdict',
+    'WireError': 'azurepier.kernel._errors:WireError',
+    'batches': 'azurepier.kernel._batches:batches',
+    'effects': 'azurepier.kernel._effects',
+    'events': 'azurepier.kernel._events',
+    'ids': 'azurepier.kernel._ids',
+    'messages': 'azurepier.wire.gen.messages.ttypes',
+    'registry': 'azurepier.kernel._registry',
+}
+
+__getattr__ = _lazy.loader(__name__, _SOURCES)
 
 __all__ = [
     'Accepted',
--- a/azurepier/kernel/_effects.py
+++ b/azurepier/kernel/_effects.py
@@ -75,3 +75,25 @@
 @attrs.frozen
 class Stopped:
     """The drain has finished; the process may exit."""
+
+
+@attrs.frozen
+class Abort:
+    """Close a connection at once; what was not delivered is dropped."""
+
+    conn: int
+
+
+@attrs.frozen
+class Note:
+    """Log a decision with the inputs that led to it."""
+
+    event: str
+    fields: dict
+
+
+@attrs.frozen
+class Decode:
+    """Decode a configuration that another entry sent."""
+
+    body: bytes
--- a/azurepier/kernel/_timers.py
+++ b/azurepier/kernel/_timers.py
@@ -46,5 +46,8 @@
             del self._deadlines[key]
             yield key
 
+    def __contains__(self, key):
+        return key in self._deadlines
+
     def __len__(self):
         return len(self._deadlines)
--- /dev/null
+++ b/azurepier/runner/__init__.py
@@ -0,0 +1,28 @@
+"""Endpoint processes that run the tasks of a pool's queues on a worker."""
+
+from azurepier import _lazy
+
+_MODEL = (
+    'EndedRow',
+    'How',
+    'ListFailed',
+    'ListRuns',
+    'RunningRow',
+    'RunsListed',
+    'StartAnswered',
+    'StartResult',
+    'StartRun',
+    'StopAnswered',
+    'StopRun',
+    'Worker',
+    'WorkerLeft',
+    'WorkerSeen',
+)
+_SOURCES = {name: f'azurepier.runner._model:{name}' for name in _MODEL}
+_SOURCES['Options'] = 'azurepier.runner._state:Options'
+for _name in ('create', 'handle', 'status'):
+    _SOURCES[_name] = f'azurepier.runner._node:{_name}'
+
+__getattr__ = _lazy.loader(__name__, _SOURCES)
+
+__all__ = [*_MODEL, 'Options', 'create', 'handle', 'status']
--- /dev/null
+++ b/azurepier/runner/_room.py
@@ -0,0 +1,87 @@
+"""What the worker has free, how fast it is, and whether it fails tasks."""
+
+from azurepier.kernel import messages
+
+# Speed of a worker that nothing is known of.
+DEFAULT_SPEED = 1.0
+# Weight of the default, in seconds of declared run time.
+PRIOR_S = 0.5
+# Share that older measurements keep when a new one arrives.
+SPEED_DECAY = 0.97
+# A few tasks take many times their declared time, whatever the worker.
+RATIO_MAX = 4.0
+RATIO_MIN = 0.25
+
+
+def accepts(node, now):
+    """Tell whether the worker takes new runs."""
+    return (
+        node.worker is not None
+        and not node.worker.leaving
+        and not node.draining
+        and node.reachable
+        and node.clock_offset_ms is not None
+        and now >= node.unhealthy_until
+    )
+
+
+def has_room(node, order):
+    """Tell whether a task fits beside what runs."""
+    worker = node.worker
+    return (
+        node.used_cpu + order.cpu <= worker.cpu
+        and node.used_mem_mb + order.mem_mb <= worker.mem_mb
+        and node.used_gpu + order.gpu <= worker.gpu
+    )
+
+
+def take(node, order, sign=1):
+    """Count a task's needs as used, or with `sign` -1 as free again."""
+    node.used_cpu += sign * order.cpu
+    node.used_mem_mb += sign * order.mem_mb
+    node.used_gpu += sign * order.gpu
+    node.changed = True
+
+
+def note_done(node, declared_ms, run_ms):
+    """Learn from a task that was done."""
+    if declared_ms <= 0 or run_ms <= 0:
+        return
+    ratio = min(max(run_ms / declared_ms, RATIO_MIN), RATIO_MAX)
+    declared_s = declared_ms / 1000
+    node.speed_declared = node.speed_declared * SPEED_DECAY + declared_s
+    node.speed_actual = node.speed_actual * SPEED_DECAY + declared_s * ratio
+    node.failed_jobs.clear()
+
+
+def note_failed(node, job_id):
+    """Count a task that failed; those of one job count once."""
+    node.failed_jobs.add(job_id)
+
+
+def speed(node):
+    """Return declared over actual run time."""
+    declared = node.speed_declared + PRIOR_S * DEFAULT_SPEED
+    return declared / (node.speed_actual + PRIOR_S)
+
+
+def report(node, link, now):
+    """Return the message that tells an entry all of this."""
+    worker = node.worker
+    cpu, mem_mb, gpu = (
+        (worker.cpu, worker.mem_mb, worker.gpu) if worker else (0, 0, 0)
+    )
+    return messages.PoolState(
+        pool=worker.pool if worker else node.options.pool,
+        labels=list(worker.labels) if worker else [],
+        cpu=cpu,
+        mem_mb=mem_mb,
+        gpu=gpu,
+        free_cpu=cpu - node.used_cpu,
+        free_mem_mb=mem_mb - node.used_mem_mb,
+        free_gpu=gpu - node.used_gpu,
+        accepting=accepts(node, now),
+        seen=link.seen,
+        speed=speed(node),
+        failures=len(node.failed_jobs),
+    )
--- /dev/null
+++ b/azurepier/runner/_state.py
@@ -0,0 +1,167 @@
+"""State of an endpoint process that runs tasks by resources."""
+
+import collections
+import enum
+
+import attrs
+
+from azurepier.kernel import Timers
+
+
+@attrs.frozen
+class Options:
+    """Settings of an endpoint process.
+
+    Parameters
+    ----------
+    name, domain : str
+    pool : str
+        Pool that the worker belongs to, from the settings; its own report
+        goes first.
+    seeds : tuple of str
+        Addresses of entries known from the start.
+    generation : int
+        Higher than that of the process's earlier runs.
+    grace_s : float
+        Time from the request to stop to the kill (s).
+    """
+
+    name: str
+    domain: str
+    pool: str
+    seeds: tuple
+    generation: int
+    grace_s: float
+
+
+class Phase(enum.Enum):
+    """Where a run stands."""
+
+    STARTING = 1
+    RUNNING = 2
+    UNSURE = 3  # the start was not answered
+    STOPPING = 4
+
+
+@attrs.define(eq=False)
+class Link:
+    """One run of an entry.
+
+    Attributes
+    ----------
+    conn : int or None
+    seen : int
+        Highest order received.
+    ends : deque
+        ``(time, RunEnd)`` of recent ends, reported again on a new connection.
+    """
+
+    name: str
+    incarnation: str
+    address: str
+    last_heard: float
+    conn: int | None = None
+    seen: int = 0
+    runs: dict = attrs.field(factory=dict)
+    ends: collections.deque = attrs.field(factory=collections.deque)
+    fresh_ends: list = attrs.field(factory=list)
+
+
+@attrs.define(eq=False)
+class Run:
+    """A task that was handed to the worker.
+
+    Parameters
+    ----------
+    order : RunOrder
+    link : Link
+        The entry that asked for it.
+    number : int
+        Number of the run on the worker.
+    asked_at : float
+        When the worker was asked (s).
+    sure_at : float
+        When the worker's answer arrived (s).
+    """
+
+    order: object
+    link: object
+    number: int
+    asked_at: float
+    phase: Phase = Phase.STARTING
+    sure_at: float = 0.0
+    retries: int = 0
+    reason: str = ''
+    percent: int = -1
+
+
+@attrs.define(eq=False)
+class Endpoint:
+    """An endpoint process.
+
+    Attributes
+    ----------
+    worker : Worker or None
+    clock_offset_ms : float or None
+        The worker's clock less the process's (ms).
+    lease_until : float
+        End of the lease last confirmed (s).
+    listing : bool
+        Whether a request for the list is open.
+    """
+
+    options: Options
+    incarnation: str
+    rng: object
+    alive_at: float
+    generation: int
+    timers: Timers = attrs.field(factory=Timers)
+    links: dict = attrs.field(factory=dict)
+    by_conn: dict = attrs.field(factory=dict)
+    addresses: dict = attrs.field(factory=dict)
+    worker: object = None
+    born: int | None = None
+    clock_offset_ms: float | None = None
+    lease_until: float = 0.0
+    reachable: bool = False
+    listing: bool = False
+    acked: int = 0
+    runs: dict = attrs.field(factory=dict)
+    strays: dict = attrs.field(factory=dict)
+    numbers: collections.OrderedDict = attrs.field(
+        factory=collections.OrderedDict
+    )
+    used_cpu: int = 0
+    used_mem_mb: int = 0
+    used_gpu: int = 0
+    unhealthy_until: float = 0.0
+    speed_declared: float = 0.0
+    speed_actual: float = 0.0
+    failed_jobs: set = attrs.field(factory=set)
+    draining: bool = False
+    changed: bool = False
+    counters: collections.Counter = attrs.field(factory=collections.Counter)
+
+    def count(self, name, number=1):
+        """Add to a counter that the metrics show."""
+        self.counters[name] += number
+
+    def hello(self, session):
+        """Return the first message on a new connection."""
+        from azurepier.kernel import messages
+
+        return messages.Hello(
+            protocol=1,
+            role='endpoint',
+            name=self.options.name,
+            incarnation=self.incarnation,
+            session=session,
+            domain=self.options.domain,
+            address='',
+            web_address='',
+            config_version=-1,
+            worker=self.options.name,
+            slots=1,
+            kinds=[],
+            largest_size=1,
+        )
--- /dev/null
+++ b/azurepier/store/__init__.py
@@ -0,0 +1,19 @@
+"""Use of a key-value store that others run; it has faults of every kind."""
+
+from azurepier.store._follow import follow
+from azurepier.store._interface import HistoryLostError
+from azurepier.store._interface import Item
+from azurepier.store._interface import LeaseLostError
+from azurepier.store._interface import Page
+from azurepier.store._interface import StoreError
+from azurepier.store._register import register
+
+__all__ = [
+    'HistoryLostError',
+    'Item',
+    'LeaseLostError',
+    'Page',
+    'StoreError',
+    'follow',
+    'register',
+]
--- /dev/null
+++ b/azurepier/store/_register.py
@@ -0,0 +1,45 @@
+"""Registration of a process in the store, under a lease."""
+
+import asyncio
+
+from azurepier.store import _interface
+
+# Time after which the store removes the key of a process that is gone (s).
+TTL_S = 6.0
+RENEW_S = 2.0
+RETRY_S = 0.5
+
+
+async def register(store, key, value, on_fault):
+    """Keep a key in the store until cancelled.
+
+    Parameters
+    ----------
+    store : object
+        ``grant(ttl_s) -> lease``, ``put(key, value, lease)``,
+        ``renew(lease)``.
+    key : str
+    value : bytes
+    on_fault : callable
+        Called with the reason of a failure, and with None once the store
+        answers again.
+    """
+    lease = None
+    while True:
+        try:
+            if lease is None:
+                granted = await store.grant(TTL_S)
+                await store.put(key, value, granted)
+                lease = granted
+            else:
+                await store.renew(lease)
+        except _interface.LeaseLostError:
+            # Lapsed while the store was away: the entry is renewed at once.
+            lease = None
+            continue
+        except _interface.StoreError as exc:
+            on_fault(str(exc))
+            await asyncio.sleep(RETRY_S)
+            continue
+        on_fault(None)
+        await asyncio.sleep(RENEW_S)
--- a/azurepier/wire/_codec.py
+++ b/azurepier/wire/_codec.py
@@ -43,6 +43,12 @@
     18: ttypes.ForwardAnswer,
     19: ttypes.QuotaRequest,
     20: ttypes.QuotaGrant,
+    21: ttypes.PoolState,
+    22: ttypes.RunOrders,
+    23: ttypes.RunStops,
+    24: ttypes.RunEnds,
+    25: ttypes.RunsKnown,
+    26: ttypes.Beat,
 }
 
 # Fields that may be absent; every other field is required.
--- a/azurepier/wire/_connection.py
+++ b/azurepier/wire/_connection.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import enum
+import socket
+import struct
 import typing
 
 import attrs
@@ -20,6 +22,8 @@
 # selector loop calls `buffer_updated` directly after it filled the buffer,
 # and `FrameSplitter` copies what it keeps.
 _RECEIVE_BYTES = 256 * 1024
+# SO_LINGER: on, 0 s.
+_RESET = struct.pack('ii', 1, 0)
 _receive_buffer = memoryview(bytearray(_RECEIVE_BYTES))
 
 
@@ -236,6 +240,10 @@
         self._phase = _Phase.CLOSED
         self._reason = self._reason or reason
         self._outbox.clear()
+        sock = self._transport.get_extra_info('socket')
+        if sock is not None:
+            # A reset also drops what the kernel has not delivered yet.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
         self._transport.abort()
 
     def _fail(self, reason):
--- a/azurepier/wire/gen/messages/ttypes.py
+++ b/azurepier/wire/gen/messages/ttypes.py
@@ -2784,6 +2784,937 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class PoolState(object):
+    """
+    What an endpoint can take; sent when it changes.
+
+    Attributes:
+     - pool
+     - labels
+     - cpu
+     - mem_mb
+     - gpu
+     - free_cpu
+     - free_mem_mb
+     - free_gpu
+     - accepting
+     - seen
+     - speed
+     - failures
+
+    """
+
+    __slots__ = (
+        'pool',
+        'labels',
+        'cpu',
+        'mem_mb',
+        'gpu',
+        'free_cpu',
+        'free_mem_mb',
+        'free_gpu',
+        'accepting',
+        'seen',
+        'speed',
+        'failures',
+    )
+
+
+    def __init__(self, pool=None, labels=None, cpu=None, mem_mb=None, gpu=None, free_cpu=None, free_mem_mb=None, free_gpu=None, accepting=None, seen=None, speed=None, failures=None,):
+        self.pool = pool
+        self.labels = labels
+        self.cpu = cpu
+        self.mem_mb = mem_mb
+        self.gpu = gpu
+        self.free_cpu = free_cpu
+        self.free_mem_mb = free_mem_mb
+        self.free_gpu = free_gpu
+        self.accepting = accepting
+        self.seen = seen
+        self.speed = speed
+        self.failures = failures
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.labels = []
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.labels.append(_elem68)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.cpu = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.mem_mb = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.gpu = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.free_cpu = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.free_mem_mb = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.free_gpu = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.accepting = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.seen = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.DOUBLE:
+                    self.speed = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.failures = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PoolState')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.labels is not None:
+            oprot.writeFieldBegin('labels', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.labels))
+            for iter69 in self.labels:
+                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.cpu is not None:
+            oprot.writeFieldBegin('cpu', TType.I32, 3)
+            oprot.writeI32(self.cpu)
+            oprot.writeFieldEnd()
+        if self.mem_mb is not None:
+            oprot.writeFieldBegin('mem_mb', TType.I32, 4)
+            oprot.writeI32(self.mem_mb)
+            oprot.writeFieldEnd()
+        if self.gpu is not None:
+            oprot.writeFieldBegin('gpu', TType.I32, 5)
+            oprot.writeI32(self.gpu)
+            oprot.writeFieldEnd()
+        if self.free_cpu is not None:
+            oprot.writeFieldBegin('free_cpu', TType.I32, 6)
+            oprot.writeI32(self.free_cpu)
+            oprot.writeFieldEnd()
+        if self.free_mem_mb is not None:
+            oprot.writeFieldBegin('free_mem_mb', TType.I32, 7)
+            oprot.writeI32(self.free_mem_mb)
+            oprot.writeFieldEnd()
+        if self.free_gpu is not None:
+            oprot.writeFieldBegin('free_gpu', TType.I32, 8)
+            oprot.writeI32(self.free_gpu)
+            oprot.writeFieldEnd()
+        if self.accepting is not None:
+            oprot.writeFieldBegin('accepting', TType.BOOL, 9)
+            oprot.writeBool(self.accepting)
+            oprot.writeFieldEnd()
+        if self.seen is not None:
+            oprot.writeFieldBegin('seen', TType.I64, 10)
+            oprot.writeI64(self.seen)
+            oprot.writeFieldEnd()
+        if self.speed is not None:
+            oprot.writeFieldBegin('speed', TType.DOUBLE, 11)
+            oprot.writeDouble(self.speed)
+            oprot.writeFieldEnd()
+        if self.failures is not None:
+            oprot.writeFieldBegin('failures', TType.I32, 12)
+            oprot.writeI32(self.failures)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RunOrder(object):
+    """
+    Attributes:
+     - seq
+     - task
+     - attempt
+     - spec
+     - cpu
+     - mem_mb
+     - gpu
+     - expected_ms
+
+    """
+
+    __slots__ = (
+        'seq',
+        'task',
+        'attempt',
+        'spec',
+        'cpu',
+        'mem_mb',
+        'gpu',
+        'expected_ms',
+    )
+
+
+    def __init__(self, seq=None, task=None, attempt=None, spec=None, cpu=None, mem_mb=None, gpu=None, expected_ms=None,):
+        self.seq = seq
+        self.task = task
+        self.attempt = attempt
+        self.spec = spec
+        self.cpu = cpu
+        self.mem_mb = mem_mb
+        self.gpu = gpu
+        self.expected_ms = expected_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.seq = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.task = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.attempt = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.spec = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.cpu = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.mem_mb = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.gpu = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.expected_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunOrder')
+        if self.seq is not None:
+            oprot.writeFieldBegin('seq', TType.I64, 1)
+            oprot.writeI64(self.seq)
+            oprot.writeFieldEnd()
+        if self.task is not None:
+            oprot.writeFieldBegin('task', TType.STRING, 2)
+            oprot.writeString(self.task.encode('utf-8') if sys.version_info[0] == 2 else self.task)
+            oprot.writeFieldEnd()
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.I32, 3)
+            oprot.writeI32(self.attempt)
+            oprot.writeFieldEnd()
+        if self.spec is not None:
+            oprot.writeFieldBegin('spec', TType.STRING, 4)
+            oprot.writeString(self.spec.encode('utf-8') if sys.version_info[0] == 2 else self.spec)
+            oprot.writeFieldEnd()
+        if self.cpu is not None:
+            oprot.writeFieldBegin('cpu', TType.I32, 5)
+            oprot.writeI32(self.cpu)
+            oprot.writeFieldEnd()
+        if self.mem_mb is not None:
+            oprot.writeFieldBegin('mem_mb', TType.I32, 6)
+            oprot.writeI32(self.mem_mb)
+            oprot.writeFieldEnd()
+        if self.gpu is not None:
+            oprot.writeFieldBegin('gpu', TType.I32, 7)
+            oprot.writeI32(self.gpu)
+            oprot.writeFieldEnd()
+        if self.expected_ms is not None:
+            oprot.writeFieldBegin('expected_ms', TType.I32, 8)
+            oprot.writeI32(self.expected_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RunOrders(object):
+    """
+    Attributes:
+     - orders
+
+    """
+
+    __slots__ = (
+        'orders',
+    )
+
+
+    def __init__(self, orders=None,):
+        self.orders = orders
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.orders = []
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = RunOrder()
+                        _elem75.read(iprot)
+                        self.orders.append(_elem75)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunOrders')
+        if self.orders is not None:
+            oprot.writeFieldBegin('orders', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.orders))
+            for iter76 in self.orders:
+                iter76.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RunStops(object):
+    """
+    Attributes:
+     - seqs
+
+    """
+
+    __slots__ = (
+        'seqs',
+    )
+
+
+    def __init__(self, seqs=None,):
+        self.seqs = seqs
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.seqs = []
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = iprot.readI64()
+                        self.seqs.append(_elem82)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunStops')
+        if self.seqs is not None:
+            oprot.writeFieldBegin('seqs', TType.LIST, 1)
+            oprot.writeListBegin(TType.I64, len(self.seqs))
+            for iter83 in self.seqs:
+                oprot.writeI64(iter83)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RunEnd(object):
+    """
+    Attributes:
+     - seq
+     - status
+     - run_ms
+     - reason
+
+    """
+
+    __slots__ = (
+        'seq',
+        'status',
+        'run_ms',
+        'reason',
+    )
+
+
+    def __init__(self, seq=None, status=None, run_ms=None, reason=None,):
+        self.seq = seq
+        self.status = status
+        self.run_ms = run_ms
+        self.reason = reason
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.seq = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.status = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.run_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunEnd')
+        if self.seq is not None:
+            oprot.writeFieldBegin('seq', TType.I64, 1)
+            oprot.writeI64(self.seq)
+            oprot.writeFieldEnd()
+        if self.status is not None:
+            oprot.writeFieldBegin('status', TType.I32, 2)
+            oprot.writeI32(self.status)
+            oprot.writeFieldEnd()
+        if self.run_ms is not None:
+            oprot.writeFieldBegin('run_ms', TType.I32, 3)
+            oprot.writeI32(self.run_ms)
+            oprot.writeFieldEnd()
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 4)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RunEnds(object):
+    """
+    Attributes:
+     - ends
+     - state
+
+    """
+
+    __slots__ = (
+        'ends',
+        'state',
+    )
+
+
+    def __init__(self, ends=None, state=None,):
+        self.ends = ends
+        self.state = state
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.ends = []
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = RunEnd()
+                        _elem89.read(iprot)
+                        self.ends.append(_elem89)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.state = PoolState()
+                    self.state.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunEnds')
+        if self.ends is not None:
+            oprot.writeFieldBegin('ends', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.ends))
+            for iter90 in self.ends:
+                iter90.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.STRUCT, 2)
+            self.state.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RunsKnown(object):
+    """
+    First message of an endpoint on each session.
+
+    Attributes:
+     - running
+     - ends
+     - state
+
+    """
+
+    __slots__ = (
+        'running',
+        'ends',
+        'state',
+    )
+
+
+    def __init__(self, running=None, ends=None, state=None,):
+        self.running = running
+        self.ends = ends
+        self.state = state
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.running = []
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = iprot.readI64()
+                        self.running.append(_elem96)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.ends = []
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = RunEnd()
+                        _elem102.read(iprot)
+                        self.ends.append(_elem102)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.state = PoolState()
+                    self.state.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunsKnown')
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.LIST, 1)
+            oprot.writeListBegin(TType.I64, len(self.running))
+            for iter103 in self.running:
+                oprot.writeI64(iter103)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.ends is not None:
+            oprot.writeFieldBegin('ends', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.ends))
+            for iter104 in self.ends:
+                iter104.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.STRUCT, 3)
+            self.state.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Beat(object):
+    """
+    Keeps a link alive in both directions.
+
+    Attributes:
+     - config_version
+     - entries
+     - slow
+
+    """
+
+    __slots__ = (
+        'config_version',
+        'entries',
+        'slow',
+    )
+
+
+    def __init__(self, config_version=None, entries=None, slow=None,):
+        self.config_version = config_version
+        self.entries = entries
+        self.slow = slow
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.config_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.entries = []
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.entries.append(_elem110)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.slow = []
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = iprot.readI64()
+                        self.slow.append(_elem116)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Beat')
+        if self.config_version is not None:
+            oprot.writeFieldBegin('config_version', TType.I64, 1)
+            oprot.writeI64(self.config_version)
+            oprot.writeFieldEnd()
+        if self.entries is not None:
+            oprot.writeFieldBegin('entries', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.entries))
+            for iter117 in self.entries:
+                oprot.writeString(iter117.encode('utf-8') if sys.version_info[0] == 2 else iter117)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.slow is not None:
+            oprot.writeFieldBegin('slow', TType.LIST, 3)
+            oprot.writeListBegin(TType.I64, len(self.slow))
+            for iter118 in self.slow:
+                oprot.writeI64(iter118)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Hello)
 Hello.thrift_spec = (
     None,  # 0
@@ -2992,5 +3923,71 @@
     (7, TType.DOUBLE, 'sent_at', None, None, ),  # 7
     (8, TType.DOUBLE, 'echo', None, None, ),  # 8
 )
+all_structs.append(PoolState)
+PoolState.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'labels', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.I32, 'cpu', None, None, ),  # 3
+    (4, TType.I32, 'mem_mb', None, None, ),  # 4
+    (5, TType.I32, 'gpu', None, None, ),  # 5
+    (6, TType.I32, 'free_cpu', None, None, ),  # 6
+    (7, TType.I32, 'free_mem_mb', None, None, ),  # 7
+    (8, TType.I32, 'free_gpu', None, None, ),  # 8
+    (9, TType.BOOL, 'accepting', None, None, ),  # 9
+    (10, TType.I64, 'seen', None, None, ),  # 10
+    (11, TType.DOUBLE, 'speed', None, None, ),  # 11
+    (12, TType.I32, 'failures', None, None, ),  # 12
+)
+all_structs.append(RunOrder)
+RunOrder.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'seq', None, None, ),  # 1
+    (2, TType.STRING, 'task', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'attempt', None, None, ),  # 3
+    (4, TType.STRING, 'spec', 'UTF8', None, ),  # 4
+    (5, TType.I32, 'cpu', None, None, ),  # 5
+    (6, TType.I32, 'mem_mb', None, None, ),  # 6
+    (7, TType.I32, 'gpu', None, None, ),  # 7
+    (8, TType.I32, 'expected_ms', None, None, ),  # 8
+)
+all_structs.append(RunOrders)
+RunOrders.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'orders', (TType.STRUCT, [RunOrder, None], False), None, ),  # 1
+)
+all_structs.append(RunStops)
+RunStops.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'seqs', (TType.I64, None, False), None, ),  # 1
+)
+all_structs.append(RunEnd)
+RunEnd.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'seq', None, None, ),  # 1
+    (2, TType.I32, 'status', None, None, ),  # 2
+    (3, TType.I32, 'run_ms', None, None, ),  # 3
+    (4, TType.STRING, 'reason', 'UTF8', None, ),  # 4
+)
+all_structs.append(RunEnds)
+RunEnds.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'ends', (TType.STRUCT, [RunEnd, None], False), None, ),  # 1
+    (2, TType.STRUCT, 'state', [PoolState, None], None, ),  # 2
+)
+all_structs.append(RunsKnown)
+RunsKnown.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'running', (TType.I64, None, False), None, ),  # 1
+    (2, TType.LIST, 'ends', (TType.STRUCT, [RunEnd, None], False), None, ),  # 2
+    (3, TType.STRUCT, 'state', [PoolState, None], None, ),  # 3
+)
+all_structs.append(Beat)
+Beat.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'config_version', None, None, ),  # 1
+    (2, TType.LIST, 'entries', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.LIST, 'slow', (TType.I64, None, False), None, ),  # 3
+)
 fix_spec(all_structs)
 del all_structs
--- a/azurepier/wire/tests/test_codec.py
+++ b/azurepier/wire/tests/test_codec.py
@@ -15,7 +15,14 @@
     derandomize=True, deadline=None, max_examples=300, database=None
 )
 BASE_VALUES = {2: True, 4: 1.5, 8: 7, 10: 2**40}
-NESTED = {'EntryInfo', 'Start', 'Outcome', 'TaskReport'}
+NESTED = {
+    'EntryInfo',
+    'Start',
+    'Outcome',
+    'RunEnd',
+    'RunOrder',
+    'TaskReport',
+}
 # Hexadecimal payloads: empty, unknown types, cut off, trailing byte, false
 # and negative lengths of lists and strings, an item type that does not
 # exist, and a start without fields.
--- a/thrift/azurepier.thrift
+++ b/thrift/azurepier.thrift
@@ -195,3 +195,67 @@
   7: double sent_at
   8: double echo            // sent_at of the newest request seen, or 0
 }
+
+// Pool dispatch: entries that place tasks by the resources of an endpoint
+// (azurepier.dispatch, azurepier.runner).
+
+/** What an endpoint can take; sent when it changes. */
+struct PoolState {
+  1: string pool            // the workers that serve the same queues
+  2: list<string> labels
+  3: i32 cpu                // capacity, in thousandths of a core
+  4: i32 mem_mb
+  5: i32 gpu
+  6: i32 free_cpu
+  7: i32 free_mem_mb
+  8: i32 free_gpu
+  9: bool accepting         // false while the worker leaves or is lost
+  10: i64 seen              // highest order received on this pair
+  11: double speed          // measured run time: declared / actual
+  12: i32 failures          // tasks that failed in a row, of distinct jobs
+}
+
+struct RunOrder {
+  1: i64 seq                // number on the pair of processes
+  2: string task
+  3: i32 attempt            // start of this task, counted from 1
+  4: string spec
+  5: i32 cpu
+  6: i32 mem_mb
+  7: i32 gpu
+  8: i32 expected_ms        // declared run time
+}
+
+struct RunOrders {
+  1: list<RunOrder> orders
+}
+
+struct RunStops {
+  1: list<i64> seqs
+}
+
+struct RunEnd {
+  1: i64 seq
+  2: i32 status             // see azurepier.kernel.Status
+  3: i32 run_ms
+  4: string reason          // why it was refused or stopped, for the log
+}
+
+struct RunEnds {
+  1: list<RunEnd> ends
+  2: PoolState state
+}
+
+/** First message of an endpoint on each session. */
+struct RunsKnown {
+  1: list<i64> running
+  2: list<RunEnd> ends      // recent ends, acknowledged or not
+  3: PoolState state
+}
+
+/** Keeps a link alive in both directions. */
+struct Beat {
+  1: i64 config_version
+  2: list<string> entries   // addresses of the entries known (entries only)
+  3: list<i64> slow         // runs that make no progress (endpoints only)
+}
