Answer begun jobs truthfully, avoid failing workers, drain for longer

A worker that failed everything still got 226 tasks in 5.5 s, because a long task that had begun before the fault cleared its failures; only one that began after the last failure does so now. An entry that was asked to stop turned away 22 jobs after 2.5 s; it goes on now while its callers are connected, if the job fits into the time left.

Ruled out: answering such a job with 503 after its runs are stopped; what ran can't be taken back.

--- a/azurepier/daemon/_http.py
+++ b/azurepier/daemon/_http.py
@@ -127,11 +127,14 @@
     port : int
     limit : int
         Longest answer that is accepted, with its head (bytes).
+    idle_limit_s : float
+        Connections that were idle for longer are not used again (s).
     """
 
     host: str
     port: int
     limit: int
+    idle_limit_s: float = IDLE_LIMIT_S
     _idle: collections.deque = attrs.field(factory=collections.deque)
 
     async def call(self, method, path, body=b'', headers=None):
@@ -193,7 +196,7 @@
         now = asyncio.get_running_loop().time()
         while self._idle:
             conn = self._idle.pop()
-            fresh = now - conn.idle_since < IDLE_LIMIT_S
+            fresh = now - conn.idle_since < self.idle_limit_s
             if fresh and conn.reusable:
                 return conn
             conn.transport.abort()
@@ -206,7 +209,7 @@
         now = asyncio.get_running_loop().time()
         conn.idle_since = now
         self._idle.append(conn)
-        while now - self._idle[0].idle_since >= IDLE_LIMIT_S:
+        while now - self._idle[0].idle_since >= self.idle_limit_s:
             self._idle.popleft().transport.abort()
 
     def close(self):
--- a/azurepier/dispatch/_model.py
+++ b/azurepier/dispatch/_model.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from azurepier.kernel import Verdict
+
 
 @attrs.frozen
 class Needs:
@@ -100,16 +102,19 @@
 
 @attrs.frozen
 class Rejected:
-    """The job was not accepted; none of its tasks runs any more.
+    """The job was given up; none of its tasks runs any more.
 
     Parameters
     ----------
     reason : str
     retry_after_s : int
+    verdict : Verdict
+        Whether a task of the job may have run.
     """
 
     reason: str
     retry_after_s: int
+    verdict: Verdict = Verdict.NOT_RUN
 
 
 @attrs.frozen
--- a/azurepier/dispatch/_node.py
+++ b/azurepier/dispatch/_node.py
@@ -11,12 +11,18 @@
 from azurepier.kernel import effects
 from azurepier.kernel import events
 from azurepier.kernel import messages
+from azurepier.kernel import Verdict
 
 RoutingSeen = _links.RoutingSeen
 
-# New requests are still served for so long after the process was asked to
-# stop (s): callers notice only after two checks, a second apart.
-DRAIN_ACCEPT_S = 2.5
+# The process goes on for at least so long after it was asked to stop (s):
+# callers notice only after two checks, a second apart.
+DRAIN_LEAST_S = 2.2
+# Connections that are still open are served for so long at most (s).
+DRAIN_OPEN_S = 4.5
+# Share of the time left that a job's declared work may take for the job to
+# be accepted by a process that is about to end.
+DRAIN_WORK_SHARE = 0.6
 # Work that is still open when the process has to end is given back so long
 # before (s).
 DRAIN_MARGIN_S = 0.7
@@ -131,8 +137,10 @@
 
 def _refusal(node, job, now):
     """Return reason and Retry-After if a job is known not to be servable."""
-    if node.draining and now - node.draining_since > DRAIN_ACCEPT_S:
-        return 'draining', RETRY_SOON_S
+    if node.draining:
+        left_s = node.drain_until - now
+        if job.work_s > left_s * DRAIN_WORK_SHARE:
+            return 'draining', RETRY_SOON_S
     pool = [
         endpoint
         for endpoint in node.by_conn.values()
@@ -280,12 +288,15 @@
 def _on_drain(node, event, now):
     node.draining_since = now
     grace_s = node.options.bounds.grace_s
-    node.timers.set('drain_end', now + grace_s - DRAIN_MARGIN_S)
+    node.drain_until = now + grace_s - DRAIN_MARGIN_S
+    node.timers.set('drain_end', node.drain_until)
     return _on_drain_check(node, None, now)
 
 
 def _on_drain_check(node, _, now):
-    if not node.jobs and now - node.draining_since > DRAIN_ACCEPT_S:
+    since = now - node.draining_since
+    quiet = node.callers_connected() == 0 or since > DRAIN_OPEN_S
+    if not node.jobs and quiet and since > DRAIN_LEAST_S:
         return [effects.Stopped()]
     node.timers.set('drain_check', now + _bounds.BEAT_S)
     return []
@@ -295,7 +306,8 @@
     """Give back what can't be finished before the process is killed."""
     out = []
     for job in list(node.jobs.values()):
-        rejected = _model.Rejected('draining', RETRY_SOON_S)
+        verdict = Verdict.MAY_HAVE_RUN if job.begun else Verdict.NOT_RUN
+        rejected = _model.Rejected('draining', RETRY_SOON_S, verdict)
         out += _runs.finish(node, job, rejected, now)
     return out
 
--- a/azurepier/dispatch/_placement.py
+++ b/azurepier/dispatch/_placement.py
@@ -8,7 +8,7 @@
 """
 
 # Failed tasks of distinct jobs in a row after which an endpoint is avoided.
-FAILURES_MAX = 3
+FAILURES_MAX = 2
 # How long an endpoint is avoided before the next trial (s).
 AVOIDED_S = 1.0
 # Time of the messages that a start and its end take (s).
--- a/azurepier/dispatch/_runs.py
+++ b/azurepier/dispatch/_runs.py
@@ -45,7 +45,6 @@
     endpoint.per_job[job.spec.id] += 1
     node.running_names[task.name] += 1
     job.running.add((endpoint.incarnation, seq))
-    job.begun = True
     reserve(endpoint, needs)
     order = messages.RunOrder(
         seq=seq,
@@ -106,6 +105,7 @@
         node.count(f'jobs_{outcome}')
     else:
         fields['retry_after_s'] = body.retry_after_s
+        fields['verdict'] = body.verdict.value
         out.append(
             effects.Note('job_rejected', {**fields, 'reason': body.reason})
         )
@@ -116,7 +116,6 @@
 def abandon(node, job):
     """Stop a job's runs and forget it; return the effects."""
     out = stop_all(node, job)
-    job.ended = True
     job.waiting.clear()
     del node.jobs[job.req]
     node.dirty = True
@@ -162,6 +161,8 @@
     if endpoint.per_job[job.spec.id] <= 0:
         del endpoint.per_job[job.spec.id]
     task.run = None
+    if status not in _NOT_RUN:
+        job.may_have_run = True
     return out + _ON_STATUS.get(status, _again)(
         node, endpoint, task, reason, now
     )
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -71,8 +71,12 @@
     waiting: list = attrs.field(factory=list)
     running: set = attrs.field(factory=set)
     remaining: int = 0
-    begun: bool = False
-    ended: bool = False
+    may_have_run: bool = False
+
+    @property
+    def begun(self):
+        """Whether a task runs or may have run."""
+        return self.may_have_run or bool(self.running)
 
 
 @attrs.define(eq=False)
@@ -183,6 +187,9 @@
     routing: object = None
     draining_since: float | None = None
     dirty: bool = False
+    drain_until: float = 0.0
+    # Returns the number of open connections of callers.
+    callers_connected: object = lambda: 0
     orders: dict = attrs.field(factory=dict)
     counters: collections.Counter = attrs.field(factory=collections.Counter)
     waits: object = None
--- a/azurepier/runner/_room.py
+++ b/azurepier/runner/_room.py
@@ -43,20 +43,27 @@
     node.changed = True
 
 
-def note_done(node, declared_ms, run_ms):
-    """Learn from a task that was done."""
+def note_done(node, run, run_ms):
+    """Learn from a task that was done.
+
+    It clears the failures only if it began after the last one: long tasks
+    that began before a worker's fault still succeed.
+    """
+    if run.asked_at > node.failed_at:
+        node.failed_jobs.clear()
+    declared_ms = run.order.expected_ms
     if declared_ms <= 0 or run_ms <= 0:
         return
     ratio = min(max(run_ms / declared_ms, RATIO_MIN), RATIO_MAX)
     declared_s = declared_ms / 1000
     node.speed_declared = node.speed_declared * SPEED_DECAY + declared_s
     node.speed_actual = node.speed_actual * SPEED_DECAY + declared_s * ratio
-    node.failed_jobs.clear()
 
 
-def note_failed(node, job_id):
+def note_failed(node, job_id, now):
     """Count a task that failed; those of one job count once."""
     node.failed_jobs.add(job_id)
+    node.failed_at = now
 
 
 def speed(node):
--- a/azurepier/runner/_runs.py
+++ b/azurepier/runner/_runs.py
@@ -453,9 +453,9 @@
     _room.take(node, order, -1)
     run_ms = round((now - run.asked_at) * MS_PER_S)
     if status is Status.DONE:
-        _room.note_done(node, order.expected_ms, run_ms)
+        _room.note_done(node, run, run_ms)
     elif status is Status.FAILED:
-        _room.note_failed(node, order.task.partition('.')[0])
+        _room.note_failed(node, order.task.partition('.')[0], now)
     node.count(f'ended_{status.name.lower()}')
     run.link.fresh_ends.append(_end_message(order, status, run_ms, reason))
     if status is Status.DONE:
--- a/azurepier/runner/_state.py
+++ b/azurepier/runner/_state.py
@@ -138,6 +138,7 @@
     speed_declared: float = 0.0
     speed_actual: float = 0.0
     failed_jobs: set = attrs.field(factory=set)
+    failed_at: float = 0.0
     draining: bool = False
     changed: bool = False
     counters: collections.Counter = attrs.field(factory=collections.Counter)
