Learn size, speed and stalls from the progress of runs

Endpoint processes report how far their runs are with each heartbeat. Entries take a job's size and objective from it and start a task again elsewhere if it would end late where it is and in time there. The worker's speed follows from progress too.

Ruled out: stopping unanswered starts without looking; it would throw away runs whose answer alone was lost.

--- a/azurepier/dispatch/_links.py
+++ b/azurepier/dispatch/_links.py
@@ -194,7 +194,6 @@
     return messages.Beat(
         config_version=_state.config_version(node),
         entries=known_addresses(node),
-        slow=[],
     )
 
 
--- a/azurepier/dispatch/_node.py
+++ b/azurepier/dispatch/_node.py
@@ -5,6 +5,7 @@
 from azurepier.dispatch import _model
 from azurepier.dispatch import _order
 from azurepier.dispatch import _placement
+from azurepier.dispatch import _progress
 from azurepier.dispatch import _runs
 from azurepier.dispatch import _state
 from azurepier import kernel
@@ -329,6 +330,7 @@
     messages.RunEnds: _links.on_ends,
     messages.PoolState: _links.on_state,
     messages.Beat: _links.on_endpoint_beat,
+    messages.RunProgress: _progress.on_progress,
 }
 
 _PEER_MESSAGES = {
--- a/azurepier/dispatch/_placement.py
+++ b/azurepier/dispatch/_placement.py
@@ -45,6 +45,11 @@
     )
 
 
+def is_sound(endpoint, now):
+    """Tell whether the endpoint is open and does not fail its tasks."""
+    return is_open(endpoint, now) and endpoint.failures < FAILURES_MAX
+
+
 def choose(endpoints, job, now, rng):
     """Return the endpoint for the next task of a job, or None.
 
@@ -58,10 +63,12 @@
     """
     needs = job.spec.needs
     limit = job.spec.max_per_worker
+    avoid = job.waiting[-1].avoid
     able = [
         endpoint
         for endpoint in endpoints
         if fits(endpoint, needs)
+        and endpoint.name not in avoid
         and (not needs.label or needs.label in endpoint.labels)
         and (not limit or endpoint.per_job[job.spec.id] < limit)
     ]
--- /dev/null
+++ b/azurepier/dispatch/_progress.py
@@ -0,0 +1,95 @@
+"""What the progress of runs tells an entry.
+
+Load pattern: declared run times that are wrong by 40 % and a few jobs of
+seven times the usual size, which all tasks of a job share; workers that turn
+slow or stand still with tasks on them. The progress of the first tasks shows
+the true size of a job, and with it its objective. A run that would end late
+where it is, and in time elsewhere, is started again elsewhere.
+"""
+
+from azurepier.dispatch import _placement
+from azurepier.kernel import effects
+from azurepier.kernel import messages
+
+# Progress below this says little about the whole (percent).
+LEAST_PERCENT = 8
+# A run is moved only if what remains takes at least this many times as long
+# as the whole task elsewhere; what was done so far is thrown away.
+MOVE_FACTOR = 1.5
+# Starts of a task after which it stays where it is.
+MOVES_MAX = 3
+MS_PER_S = 1000
+
+
+def on_progress(node, endpoint, msg, now):
+    """Update sizes and ends of runs; move runs that are stuck."""
+    out = []
+    for step in msg.steps:
+        run = endpoint.runs.get(step.seq)
+        if run is None or run.task is None or run.stopping:
+            continue
+        if step.percent >= LEAST_PERCENT and step.remaining_ms >= 0:
+            _learn_size(run.task.job, endpoint, step)
+        out += _consider_move(node, endpoint, run, step, now)
+    return out
+
+
+def _learn_size(job, endpoint, step):
+    """Replace the declared run time by what the progress shows.
+
+    The whole time so far counts, not the present rate: a worker that has
+    just turned slow does not make the job longer.
+    """
+    total_s = step.elapsed_ms / MS_PER_S * 100 / step.percent
+    work_s = total_s * endpoint.speed
+    if not job.measured:
+        job.measured = True
+        job.work_s = work_s
+    else:
+        job.work_s += (work_s - job.work_s) / 4
+    due_s = job.queue.stretch * job.work_s + job.queue.margin_s
+    job.objective_at = job.received_at + due_s
+
+
+def _consider_move(node, endpoint, run, step, now):
+    task, job = run.task, run.task.job
+    if task.starts >= MOVES_MAX:
+        return []
+    remaining_s = step.remaining_ms / MS_PER_S
+    stuck = step.remaining_ms < 0
+    if not stuck and now + remaining_s <= job.objective_at:
+        return []
+    target = _target(node, endpoint, job, now)
+    if target is None:
+        return []
+    elsewhere_s = job.work_s / target.speed
+    if not stuck and remaining_s < elsewhere_s * MOVE_FACTOR:
+        return []
+    run.stopping = True
+    task.avoid = (*task.avoid, endpoint.name)
+    node.count('runs_moved')
+    fields = {
+        'task': run.name,
+        'endpoint': endpoint.name,
+        'speed': round(endpoint.speed, 2),
+        'percent': step.percent,
+        'remaining_ms': step.remaining_ms,
+        'elsewhere_ms': round(elsewhere_s * MS_PER_S),
+    }
+    return [
+        effects.Note('run_moved', fields),
+        effects.Send(endpoint.conn, messages.RunStops(seqs=[run.seq])),
+    ]
+
+
+def _target(node, endpoint, job, now):
+    """Return the fastest other endpoint that has room for a task."""
+    others = [
+        each
+        for each in node.by_conn.values()
+        if each is not endpoint
+        and each.pool == job.queue.pool
+        and _placement.is_sound(each, now)
+        and _placement.fits(each, job.spec.needs)
+    ]
+    return max(others, key=lambda each: each.speed, default=None)
--- a/azurepier/dispatch/_runs.py
+++ b/azurepier/dispatch/_runs.py
@@ -98,6 +98,8 @@
         'queue': job.queue.name,
         'ms': round((now - job.received_at) * 1000),
         'objective_ms': round((job.objective_at - job.received_at) * 1000),
+        'declared_ms': job.spec.declared_ms,
+        'work_ms': round(job.work_s * 1000) if job.measured else None,
     }
     if isinstance(body, _model.Finished):
         outcome = 'succeeded' if body.succeeded else 'failed'
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -38,6 +38,8 @@
     starts: int = 0
     failures: int = 0
     failed_at: tuple = ()
+    # Endpoints on which the task stood still or was too slow.
+    avoid: tuple = ()
     run: object = None
     done: bool = False
     # The task is not started before this time (s).
@@ -72,6 +74,8 @@
     running: set = attrs.field(factory=set)
     remaining: int = 0
     may_have_run: bool = False
+    # Whether `work_s` comes from progress, not from what was declared.
+    measured: bool = False
 
     @property
     def begun(self):
--- a/azurepier/runner/_node.py
+++ b/azurepier/runner/_node.py
@@ -6,6 +6,7 @@
 from azurepier.kernel import events
 from azurepier.kernel import messages
 from azurepier.runner import _model
+from azurepier.runner import _progress
 from azurepier.runner import _room
 from azurepier.runner import _runs
 from azurepier.runner import _state
@@ -65,7 +66,7 @@
         'used_cpu': node.used_cpu,
         'entries': len(node.by_conn),
         'accepting': int(_room.accepts(node, now)),
-        'speed': _room.speed(node),
+        'speed': _progress.speed(node),
         'counters': dict(node.counters),
     }
 
@@ -255,7 +256,7 @@
 def _on_beat_timer(node, _, now):
     node.timers.set('beat', now + bounds.BEAT_S)
     out = []
-    msg = messages.Beat(config_version=-1, entries=[], slow=[])
+    msg = messages.Beat(config_version=-1, entries=[])
     for link in list(node.by_conn.values()):
         if link.last_heard < now - bounds.SILENCE_S:
             out.append(effects.Abort(link.conn))
@@ -263,6 +264,7 @@
         else:
             node.addresses[link.address] = now
             out.append(effects.Send(link.conn, msg))
+            out += _progress.report(node, link, now)
     return out
 
 
--- a/azurepier/runner/_room.py
+++ b/azurepier/runner/_room.py
@@ -1,16 +1,7 @@
-"""What the worker has free, how fast it is, and whether it fails tasks."""
+"""What the worker has free, and whether it fails its tasks."""
 
 from azurepier.kernel import messages
-
-# Speed of a worker that nothing is known of.
-DEFAULT_SPEED = 1.0
-# Weight of the default, in seconds of declared run time.
-PRIOR_S = 0.5
-# Share that older measurements keep when a new one arrives.
-SPEED_DECAY = 0.97
-# A few tasks take many times their declared time, whatever the worker.
-RATIO_MAX = 4.0
-RATIO_MIN = 0.25
+from azurepier.runner import _progress
 
 
 def accepts(node, now):
@@ -43,21 +34,13 @@
     node.changed = True
 
 
-def note_done(node, run, run_ms):
-    """Learn from a task that was done.
+def note_done(node, run):
+    """Take the failures back if a task that began after them was done.
 
-    It clears the failures only if it began after the last one: long tasks
-    that began before a worker's fault still succeed.
+    Long tasks that began before a worker's fault still succeed.
     """
     if run.asked_at > node.failed_at:
         node.failed_jobs.clear()
-    declared_ms = run.order.expected_ms
-    if declared_ms <= 0 or run_ms <= 0:
-        return
-    ratio = min(max(run_ms / declared_ms, RATIO_MIN), RATIO_MAX)
-    declared_s = declared_ms / 1000
-    node.speed_declared = node.speed_declared * SPEED_DECAY + declared_s
-    node.speed_actual = node.speed_actual * SPEED_DECAY + declared_s * ratio
 
 
 def note_failed(node, job_id, now):
@@ -66,12 +49,6 @@
     node.failed_at = now
 
 
-def speed(node):
-    """Return declared over actual run time."""
-    declared = node.speed_declared + PRIOR_S * DEFAULT_SPEED
-    return declared / (node.speed_actual + PRIOR_S)
-
-
 def report(node, link, now):
     """Return the message that tells an entry all of this."""
     worker = node.worker
@@ -89,6 +66,6 @@
         free_gpu=gpu - node.used_gpu,
         accepting=accepts(node, now),
         seen=link.seen,
-        speed=speed(node),
+        speed=_progress.speed(node),
         failures=len(node.failed_jobs),
     )
--- a/azurepier/runner/_runs.py
+++ b/azurepier/runner/_runs.py
@@ -11,6 +11,7 @@
 from azurepier.kernel import messages
 from azurepier.kernel import Status
 from azurepier.runner import _model
+from azurepier.runner import _progress
 from azurepier.runner import _room
 from azurepier.runner import _state
 
@@ -19,8 +20,11 @@
 LIST_WAIT_MS = 150
 # Interval of lists while nothing runs; keeps the worker's clock known (s).
 IDLE_LIST_S = 1.0
-# Pause after a list that failed (s).
+# Pause after lists that failed (s).
 LIST_RETRY_S = 0.05
+# A worker that has not answered for so long gets no new runs (s). Single
+# answers get lost without a fault of the worker.
+UNREACHABLE_S = 0.4
 # A stop that is not confirmed is repeated after this time (s).
 STOP_RETRY_S = 0.08
 # Run numbers tried on a worker that has seen higher ones.
@@ -172,7 +176,7 @@
     run.phase = _state.Phase.UNSURE
     run.sure_at = now
     out = [_note_run(node, 'start_unanswered', run, now)]
-    return out + want_list(node, now)
+    return out + list_now(node, now)
 
 
 _ON_RESULT = {
@@ -241,7 +245,7 @@
     # The room is free only when the worker lists the end. A run that was
     # never there is listed nowhere and can't start any more.
     run.sure_at = now
-    return want_list(node, now)
+    return list_now(node, now)
 
 
 # Lists -------------------------------------------------------------------
@@ -264,6 +268,14 @@
     ]
 
 
+def list_now(node, now):
+    """Ask for the list although an earlier request may be held back."""
+    node.listing = True
+    return [
+        _model.ListRuns(lease_ms(node, now), node.acked, 0, node.generation)
+    ]
+
+
 def on_list_timer(node, _, now):
     """Ask for the list although nothing runs."""
     return want_list(node, now)
@@ -272,6 +284,10 @@
 def on_runs_listed(node, event, now):
     """Compare the worker's list with what should be there."""
     node.listing = False
+    if event.asked_at < node.listed_as_of:
+        # A later request was answered first.
+        return want_list(node, now) if node.runs else []
+    node.listed_as_of = event.asked_at
     out = _check_lifetime(node, event.born, now)
     first = node.clock_offset_ms is None
     node.clock_offset_ms = event.clock_ms - now * MS_PER_S
@@ -323,10 +339,10 @@
 def _on_running(node, row, now):
     run = node.runs.get(row.task)
     if run is not None and run.number == row.number:
-        run.percent = row.percent
+        out = _progress.on_listed(node, run, row.percent, now)
         if run.phase is _state.Phase.UNSURE:
-            return _started(node, run, None, now)
-        return []
+            return out + _started(node, run, None, now)
+        return out
     if run is not None and run.phase is _state.Phase.STARTING:
         # An unanswered start of a lower number was carried out.
         return _ask_stop(node, row.task, row.number, now)
@@ -378,8 +394,11 @@
     node.listing = False
     if event.old_generation:
         raise_generation(node)
-    node.timers.set('list', now + LIST_RETRY_S)
-    out = unreachable(node, event.reason, now)
+    node.timers.set('list', now)
+    out = []
+    if now - node.listed_as_of > UNREACHABLE_S:
+        node.timers.set('list', now + LIST_RETRY_S)
+        out = unreachable(node, event.reason, now)
     if event.other_worker:
         return out + forget_runs(node, 'other_worker', now)
     if now > node.lease_until + bounds.LEASE_MARGIN_S and node.runs:
@@ -453,7 +472,8 @@
     _room.take(node, order, -1)
     run_ms = round((now - run.asked_at) * MS_PER_S)
     if status is Status.DONE:
-        _room.note_done(node, run, run_ms)
+        _room.note_done(node, run)
+        _progress.on_done(node, run, now)
     elif status is Status.FAILED:
         _room.note_failed(node, order.task.partition('.')[0], now)
     node.count(f'ended_{status.name.lower()}')
--- a/azurepier/runner/_state.py
+++ b/azurepier/runner/_state.py
@@ -34,6 +34,16 @@
     grace_s: float
 
 
+@attrs.define(eq=False)
+class Pace:
+    """Work done and the time that it took, decaying (s)."""
+
+    work: float = 0.0
+    time: float = 0.0
+    recent_work: float = 0.0
+    recent_time: float = 0.0
+
+
 class Phase(enum.Enum):
     """Where a run stands."""
 
@@ -67,6 +77,31 @@
     fresh_ends: list = attrs.field(factory=list)
 
 
+@attrs.define(eq=False)
+class Progress:
+    """How far a run is.
+
+    Attributes
+    ----------
+    percent : int
+        Done, as last listed.
+    changed_at : float
+        When `percent` last rose (s).
+    listed_at : float
+        When it was last listed (s).
+    before : tuple of (int, float)
+        Percent and time of an earlier list, to tell the present rate.
+    standing : bool
+        Whether it does not get on.
+    """
+
+    percent: int = 0
+    changed_at: float = 0.0
+    listed_at: float = 0.0
+    before: tuple = (0, 0.0)
+    standing: bool = False
+
+
 @attrs.define(eq=False)
 class Run:
     """A task that was handed to the worker.
@@ -92,7 +127,7 @@
     sure_at: float = 0.0
     retries: int = 0
     reason: str = ''
-    percent: int = -1
+    progress: object = attrs.field(factory=Progress)
 
 
 @attrs.define(eq=False)
@@ -108,6 +143,8 @@
         End of the lease last confirmed (s).
     listing : bool
         Whether a request for the list is open.
+    listed_as_of : float
+        When the latest list that was answered had been asked for (s).
     """
 
     options: Options
@@ -125,6 +162,7 @@
     lease_until: float = 0.0
     reachable: bool = False
     listing: bool = False
+    listed_as_of: float = 0.0
     acked: int = 0
     runs: dict = attrs.field(factory=dict)
     strays: dict = attrs.field(factory=dict)
@@ -135,8 +173,7 @@
     used_mem_mb: int = 0
     used_gpu: int = 0
     unhealthy_until: float = 0.0
-    speed_declared: float = 0.0
-    speed_actual: float = 0.0
+    pace: object = attrs.field(factory=Pace)
     failed_jobs: set = attrs.field(factory=set)
     failed_at: float = 0.0
     draining: bool = False
--- a/azurepier/wire/_codec.py
+++ b/azurepier/wire/_codec.py
@@ -49,6 +49,7 @@
     24: ttypes.RunEnds,
     25: ttypes.RunsKnown,
     26: ttypes.Beat,
+    27: ttypes.RunProgress,
 }
 
 # Fields that may be absent; every other field is required.
--- a/azurepier/wire/gen/messages/ttypes.py
+++ b/azurepier/wire/gen/messages/ttypes.py
@@ -3614,21 +3614,18 @@
     Attributes:
      - config_version
      - entries
-     - slow
 
     """
 
     __slots__ = (
         'config_version',
         'entries',
-        'slow',
     )
 
 
-    def __init__(self, config_version=None, entries=None, slow=None,):
+    def __init__(self, config_version=None, entries=None,):
         self.config_version = config_version
         self.entries = entries
-        self.slow = slow
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3654,16 +3651,6 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.LIST:
-                    self.slow = []
-                    (_etype114, _size111) = iprot.readListBegin()
-                    for _i115 in range(_size111):
-                        _elem116 = iprot.readI64()
-                        self.slow.append(_elem116)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3681,15 +3668,191 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.entries))
-            for iter117 in self.entries:
-                oprot.writeString(iter117.encode('utf-8') if sys.version_info[0] == 2 else iter117)
+            for iter111 in self.entries:
+                oprot.writeString(iter111.encode('utf-8') if sys.version_info[0] == 2 else iter111)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.slow is not None:
-            oprot.writeFieldBegin('slow', TType.LIST, 3)
-            oprot.writeListBegin(TType.I64, len(self.slow))
-            for iter118 in self.slow:
-                oprot.writeI64(iter118)
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RunStep(object):
+    """
+    Attributes:
+     - seq
+     - percent
+     - elapsed_ms
+     - remaining_ms
+
+    """
+
+    __slots__ = (
+        'seq',
+        'percent',
+        'elapsed_ms',
+        'remaining_ms',
+    )
+
+
+    def __init__(self, seq=None, percent=None, elapsed_ms=None, remaining_ms=None,):
+        self.seq = seq
+        self.percent = percent
+        self.elapsed_ms = elapsed_ms
+        self.remaining_ms = remaining_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.seq = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.percent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.elapsed_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.remaining_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunStep')
+        if self.seq is not None:
+            oprot.writeFieldBegin('seq', TType.I64, 1)
+            oprot.writeI64(self.seq)
+            oprot.writeFieldEnd()
+        if self.percent is not None:
+            oprot.writeFieldBegin('percent', TType.I32, 2)
+            oprot.writeI32(self.percent)
+            oprot.writeFieldEnd()
+        if self.elapsed_ms is not None:
+            oprot.writeFieldBegin('elapsed_ms', TType.I32, 3)
+            oprot.writeI32(self.elapsed_ms)
+            oprot.writeFieldEnd()
+        if self.remaining_ms is not None:
+            oprot.writeFieldBegin('remaining_ms', TType.I32, 4)
+            oprot.writeI32(self.remaining_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RunProgress(object):
+    """
+    How far the runs are; sent while something runs.
+
+    Attributes:
+     - steps
+
+    """
+
+    __slots__ = (
+        'steps',
+    )
+
+
+    def __init__(self, steps=None,):
+        self.steps = steps
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.steps = []
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = RunStep()
+                        _elem117.read(iprot)
+                        self.steps.append(_elem117)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunProgress')
+        if self.steps is not None:
+            oprot.writeFieldBegin('steps', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.steps))
+            for iter118 in self.steps:
+                iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3987,7 +4150,19 @@
     None,  # 0
     (1, TType.I64, 'config_version', None, None, ),  # 1
     (2, TType.LIST, 'entries', (TType.STRING, 'UTF8', False), None, ),  # 2
-    (3, TType.LIST, 'slow', (TType.I64, None, False), None, ),  # 3
+)
+all_structs.append(RunStep)
+RunStep.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'seq', None, None, ),  # 1
+    (2, TType.I32, 'percent', None, None, ),  # 2
+    (3, TType.I32, 'elapsed_ms', None, None, ),  # 3
+    (4, TType.I32, 'remaining_ms', None, None, ),  # 4
+)
+all_structs.append(RunProgress)
+RunProgress.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'steps', (TType.STRUCT, [RunStep, None], False), None, ),  # 1
 )
 fix_spec(all_structs)
 del all_structs
--- a/azurepier/wire/tests/test_codec.py
+++ b/azurepier/wire/tests/test_codec.py
@@ -21,6 +21,7 @@
     'Outcome',
     'RunEnd',
     'RunOrder',
+    'RunStep',
     'TaskReport',
 }
 # Hexadecimal payloads: empty, unknown types, cut off, trailing byte, false
--- a/thrift/azurepier.thrift
+++ b/thrift/azurepier.thrift
@@ -257,5 +257,16 @@
 struct Beat {
   1: i64 config_version
   2: list<string> entries   // addresses of the entries known (entries only)
-  3: list<i64> slow         // runs that make no progress (endpoints only)
+}
+
+struct RunStep {
+  1: i64 seq
+  2: i32 percent            // done
+  3: i32 elapsed_ms
+  4: i32 remaining_ms       // at the present rate; -1: it stands still
+}
+
+/** How far the runs are; sent while something runs. */
+struct RunProgress {
+  1: list<RunStep> steps
 }
