Bound the lease by what was asked for, join repeated jobs; model and tests

Cause: a model of workers on virtual time, with orders that are carried out late, showed a task on two workers at a time. A start extends the worker's lease, but the endpoint process counted the lease from the last list alone and declared the run over too early. The end of the lease now follows from every request that may extend it, and a worker that does not answer is not asked for a renewal any more, so that the end is known.

Also found by the tests: an entry cut off from all endpoints kept begun jobs for ever and said that it was ready; it gives them back after a second, with "may have run". An entry that had just started rejected jobs before its endpoints could connect. A worker that had turned slow or failed was not tried again under low load. A job that is submitted again to the same entry joins the first submission or gets its outcome.

--- a/azurepier/dispatch/_node.py
+++ b/azurepier/dispatch/_node.py
@@ -27,9 +27,8 @@
 # Work that is still open when the process has to end is given back so long
 # before (s).
 DRAIN_MARGIN_S = 0.7
-# With no endpoint connected for so long after its start, an entry says that
-# it is ready all the same, so that its callers hear why (s).
-READY_AFTER_S = 5.0
+# With no endpoint reachable for so long, begun jobs are given up (s).
+STRANDED_S = 1.0
 MS_PER_S = 1000
 RETRY_SOON_S = 1
 RETRY_NEVER_S = 60
@@ -71,9 +70,7 @@
     """Tell whether new connections should be sent to this entry."""
     if node.draining or node.routing is None:
         return False
-    if any(endpoint.accepting for endpoint in node.by_conn.values()):
-        return True
-    return now - node.started_at > READY_AFTER_S
+    return any(endpoint.accepting for endpoint in node.by_conn.values())
 
 
 def pending(node, queue):
@@ -105,15 +102,29 @@
 
 def _on_submit(node, event, now):
     spec, queue = event.job, event.queue
+    known = node.recent.get(spec.id)
+    if known is not None:
+        node.count('jobs_answered_again')
+        return [
+            effects.Note('job_answered_again', {'job_id': spec.id}),
+            effects.Answer(event.req, known[1]),
+        ]
+    job = node.jobs.get(spec.id)
+    if job is not None:
+        job.reqs.add(event.req)
+        node.job_of[event.req] = job
+        node.count('jobs_joined')
+        return [effects.Note('job_joined', {'job_id': spec.id})]
     work_s = spec.declared_ms / MS_PER_S
     due_s = queue.stretch * work_s + queue.margin_s
-    job = _state.Job(event.req, queue, spec, now, work_s, now + due_s)
+    job = _state.Job({event.req}, queue, spec, now, work_s, now + due_s)
     job.waiting = [
         _state.Task(job, index, f'{spec.id}.0.0.{index}')
         for index in reversed(range(spec.count))
     ]
     job.remaining = spec.count
-    node.jobs[event.req] = job
+    node.jobs[spec.id] = job
+    node.job_of[event.req] = job
     node.count('jobs')
     node.dirty = True
     out = [
@@ -154,9 +165,13 @@
 
 
 def _on_abandon(node, event, now):
-    job = node.jobs.get(event.req)
+    job = node.job_of.get(event.req)
     if job is None:
         return []
+    if len(job.reqs) > 1:
+        job.reqs.discard(event.req)
+        del node.job_of[event.req]
+        return []
     node.count('jobs_abandoned')
     fields = {
         'job_id': job.spec.id,
@@ -191,17 +206,15 @@
         for endpoint in node.by_conn.values()
         if endpoint.pool == pool and _placement.is_open(endpoint, now)
     ]
-    fastest = max((endpoint.speed for endpoint in open_), default=0.0)
-    ordered = _order.in_order(jobs, fastest)
+    supply = _supply(node, open_)
+    ordered = _order.in_order(jobs, supply.fastest)
     for job in ordered:
         _start_tasks(node, open_, job, now)
     waiting = [job for job in ordered if job.waiting]
-    supply = _supply(node, open_, fastest)
-    out = []
+    out = _give_back_stranded(node, pool, waiting, bool(open_), now)
     for job in _order.hopeless(waiting, supply, now):
         backlog = sum(map(_order.work, waiting))
-        wait_s = backlog / supply.rate if supply.rate else RETRY_SOON_S
-        after = _order.retry_after(wait_s, node.rng)
+        after = _order.retry_after(backlog / supply.rate, node.rng)
         rejected = _model.Rejected('overload', after)
         out += _runs.finish(node, job, rejected, now)
     return out
@@ -218,7 +231,32 @@
         _runs.start(node, endpoint, job, now)
 
 
-def _supply(node, open_, fastest):
+def _give_back_stranded(node, pool, waiting, any_open, now):
+    """Give up begun jobs when no endpoint has been reachable for long.
+
+    Another entry may reach some; the caller sends again.
+    """
+    if any_open:
+        node.stranded_since.pop(pool, None)
+        return []
+    since = node.stranded_since.setdefault(pool, now)
+    if now - since < STRANDED_S:
+        return []
+    out = []
+    for job in list(waiting):
+        if job.begun and not job.running:
+            waiting.remove(job)
+            rejected = _model.Rejected(
+                'no_endpoint', RETRY_SOON_S, Verdict.MAY_HAVE_RUN
+            )
+            out += _runs.finish(node, job, rejected, now)
+    return out
+
+
+def _supply(node, open_):
+    if not open_:
+        return _order.UNKNOWN
+    fastest = max(endpoint.speed for endpoint in open_)
     cores = sum(endpoint.cpu * endpoint.speed for endpoint in open_) / 1000
     return _order.Supply(fastest, cores / (len(node.peers) + 1))
 
--- a/azurepier/dispatch/_order.py
+++ b/azurepier/dispatch/_order.py
@@ -8,8 +8,6 @@
 so that its caller can do something else and the room goes to others.
 """
 
-import math
-
 import attrs
 
 # Run times are known to about 40 %, so a job is turned away only if the
@@ -29,18 +27,27 @@
     Parameters
     ----------
     fastest : float
-        Speed of the fastest endpoint that accepts tasks; 0 if none does.
+        Speed of the fastest endpoint that accepts tasks.
     rate : float
         Cores that this entry may count on, at speed 1.
+
+    Notes
+    -----
+    With no endpoint connected both are taken from `UNKNOWN`: after a restart
+    the endpoints connect within a fraction of a second, and a job may wait
+    for them as long as it can still be in time.
     """
 
     fastest: float
     rate: float
 
 
+UNKNOWN = Supply(1.0, 1e6)
+
+
 def start_by(job, fastest):
     """Return when the job has to start to end in time (s)."""
-    return job.objective_at - job.work_s / max(fastest, 0.1)
+    return job.objective_at - job.work_s / fastest
 
 
 def work(job):
@@ -52,7 +59,7 @@
     """Return jobs in the order in which they are served."""
     return sorted(
         jobs,
-        key=lambda job: (not job.begun, start_by(job, fastest), job.req),
+        key=lambda job: (not job.begun, start_by(job, fastest), job.spec.id),
     )
 
 
@@ -70,7 +77,7 @@
     found = []
     for job in ordered:
         slack = start_by(job, supply.fastest) + TOLERANCE_S - now
-        wait = ahead / supply.rate if supply.rate > 0 else math.inf
+        wait = ahead / supply.rate
         if not job.begun and (slack < 0 or wait * WAIT_FACTOR > slack):
             found.append(job)
         else:
--- a/azurepier/dispatch/_runs.py
+++ b/azurepier/dispatch/_runs.py
@@ -14,6 +14,9 @@
 # long as there are so many.
 FAILED_ENDPOINTS = 2
 
+# Outcomes are kept for callers that submit the same job again (s).
+RECENT_S = 15.0
+
 _NOT_RUN = frozenset({Status.REFUSED, Status.LEAVING})
 
 
@@ -92,7 +95,7 @@
 def finish(node, job, body, now):
     """Answer a job's caller and forget the job."""
     out = abandon(node, job)
-    out.append(effects.Answer(job.req, body))
+    out += [effects.Answer(req, body) for req in sorted(job.reqs)]
     fields = {
         'job_id': job.spec.id,
         'queue': job.queue.name,
@@ -105,6 +108,9 @@
         outcome = 'succeeded' if body.succeeded else 'failed'
         out.append(effects.Note('job_ended', {**fields, 'outcome': outcome}))
         node.count(f'jobs_{outcome}')
+        node.recent[job.spec.id] = (now, body)
+        while next(iter(node.recent.values()))[0] < now - RECENT_S:
+            node.recent.popitem(last=False)
     else:
         fields['retry_after_s'] = body.retry_after_s
         fields['verdict'] = body.verdict.value
@@ -119,7 +125,9 @@
     """Stop a job's runs and forget it; return the effects."""
     out = stop_all(node, job)
     job.waiting.clear()
-    del node.jobs[job.req]
+    del node.jobs[job.spec.id]
+    for req in job.reqs:
+        del node.job_of[req]
     node.dirty = True
     return out
 
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -28,7 +28,7 @@
     bounds: object
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Task:
     """One task of a job."""
 
@@ -46,14 +46,14 @@
     not_before: float = 0.0
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Job:
     """A job that was accepted and has not ended.
 
     Parameters
     ----------
-    req : int
-        The caller's request.
+    reqs : set of int
+        The callers' requests; the same id may be submitted again.
     queue : Queue
     spec : JobRequest
     received_at : float
@@ -64,7 +64,7 @@
         When the answer is due (s).
     """
 
-    req: int
+    reqs: set
     queue: object
     spec: object
     received_at: float
@@ -109,7 +109,7 @@
     stopping: bool = False
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Endpoint:
     """What an entry knows of one endpoint process.
 
@@ -157,14 +157,18 @@
     config_version: int = -1
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Entry:
     """An entry.
 
     Attributes
     ----------
-    jobs : dict of int to Job
+    jobs : dict of str to Job
+        By the job's id.
+    job_of : dict of int to Job
         By the caller's request.
+    recent : OrderedDict
+        Outcome and time of ended jobs, by id.
     endpoints : dict of str to Endpoint
         By incarnation.
     lingering : collections.Counter
@@ -180,7 +184,10 @@
     alive_at: float
     timers: Timers = attrs.field(factory=Timers)
     jobs: dict = attrs.field(factory=dict)
-    queue_of: dict = attrs.field(factory=dict)
+    job_of: dict = attrs.field(factory=dict)
+    recent: collections.OrderedDict = attrs.field(
+        factory=collections.OrderedDict
+    )
     endpoints: dict = attrs.field(factory=dict)
     by_conn: dict = attrs.field(factory=dict)
     peers: dict = attrs.field(factory=dict)
@@ -192,6 +199,8 @@
     draining_since: float | None = None
     dirty: bool = False
     drain_until: float = 0.0
+    # Since when a pool has no open endpoint (s).
+    stranded_since: dict = attrs.field(factory=dict)
     # Returns the number of open connections of callers.
     callers_connected: object = lambda: 0
     orders: dict = attrs.field(factory=dict)
--- a/azurepier/runner/_node.py
+++ b/azurepier/runner/_node.py
@@ -66,7 +66,7 @@
         'used_cpu': node.used_cpu,
         'entries': len(node.by_conn),
         'accepting': int(_room.accepts(node, now)),
-        'speed': _progress.speed(node),
+        'speed': _progress.speed(node, now),
         'counters': dict(node.counters),
     }
 
--- a/azurepier/runner/_progress.py
+++ b/azurepier/runner/_progress.py
@@ -18,8 +18,12 @@
 # Run time over which a sudden change shows (s).
 RECENT_S = 2.0
 # A worker whose recent speed is below this share of its average has turned
-# slow.
+# slow. Its average is kept meanwhile, but for a tenth of what is measured,
+# so that it is used again soon after the fault.
 TURNED_SLOW = 0.5
+SLOW_WEIGHT = 0.1
+# Without a measurement for so long a worker is tried again (s).
+RECENT_AGE_S = 1.0
 # A run stands still if it should have made this much progress (percent)...
 STANDING_PERCENT = 5
 # ...and has made none for this time (s), which covers a late list.
@@ -37,7 +41,7 @@
     progress = run.progress
     since = progress.listed_at or run.asked_at
     gained = max(percent - progress.percent, 0)
-    _note_work(node, run, gained, now - since)
+    _note_work(node, run, gained, now - since, now)
     progress.listed_at = now
     if now - (progress.before[1] or run.asked_at) >= RATE_WINDOW_S:
         progress.before = (progress.percent, since)
@@ -80,29 +84,46 @@
     """Learn from a run that was done."""
     progress = run.progress
     since = progress.listed_at or run.asked_at
-    _note_work(node, run, 100 - progress.percent, now - since)
+    _note_work(node, run, 100 - progress.percent, now - since, now)
 
 
-def _note_work(node, run, percent, time_s):
+def _note_work(node, run, percent, time_s, now):
     pace = node.pace
     work_s = run.order.expected_ms / MS_PER_S * percent / 100
     if work_s <= 0 and time_s <= 0:
         return
-    keep = max(1.0 - time_s / MEMORY_S, 0.0)
-    pace.work = pace.work * keep + work_s
-    pace.time = pace.time * keep + time_s
+    if now - pace.at > RECENT_AGE_S:
+        pace.recent_work = pace.recent_time = 0.0
+    pace.at = now
     keep = max(1.0 - time_s / RECENT_S, 0.0)
     pace.recent_work = pace.recent_work * keep + work_s
     pace.recent_time = pace.recent_time * keep + time_s
+    average = _average(pace)
+    weight = 1.0
+    if _recent(pace, average) < TURNED_SLOW * average:
+        weight = SLOW_WEIGHT
+    keep = max(1.0 - weight * time_s / MEMORY_S, 0.0)
+    pace.work = pace.work * keep + weight * work_s
+    pace.time = pace.time * keep + weight * time_s
 
 
-def speed(node):
-    """Return declared over actual run time."""
-    pace = node.pace
-    average = (pace.work + PRIOR_S * DEFAULT_SPEED) / (pace.time + PRIOR_S)
-    recent = (pace.recent_work + PRIOR_S * average) / (
+def _average(pace):
+    return (pace.work + PRIOR_S * DEFAULT_SPEED) / (pace.time + PRIOR_S)
+
+
+def _recent(pace, average):
+    return (pace.recent_work + PRIOR_S * average) / (
         pace.recent_time + PRIOR_S
     )
+
+
+def speed(node, now):
+    """Return declared over actual run time."""
+    pace = node.pace
+    average = _average(pace)
+    if now - pace.at > RECENT_AGE_S:
+        return average
+    recent = _recent(pace, average)
     return recent if recent < TURNED_SLOW * average else average
 
 
--- a/azurepier/runner/_room.py
+++ b/azurepier/runner/_room.py
@@ -66,6 +66,6 @@
         free_gpu=gpu - node.used_gpu,
         accepting=accepts(node, now),
         seen=link.seen,
-        speed=_progress.speed(node),
+        speed=_progress.speed(node, now),
         failures=len(node.failed_jobs),
     )
--- a/azurepier/runner/_runs.py
+++ b/azurepier/runner/_runs.py
@@ -104,6 +104,8 @@
 
 
 def _start_effect(node, run, now):
+    # The worker extends the lease of everything that runs on it.
+    node.lease_until = now + bounds.LEASE_S
     return _model.StartRun(
         task=run.order.task,
         number=run.number,
@@ -261,19 +263,25 @@
         run.phase is not _state.Phase.RUNNING for run in node.runs.values()
     )
     wait_ms = LIST_WAIT_MS if busy and not unsettled else 0
-    return [
-        _model.ListRuns(
-            lease_ms(node, now), node.acked, wait_ms, node.generation
-        )
-    ]
+    return [_list_effect(node, wait_ms, now)]
+
+
+def _list_effect(node, wait_ms, now):
+    """Return a request for the list, which renews the lease if it may.
+
+    A worker that does not answer may still carry the request out. It is not
+    renewed then, so that the end of the last lease is known.
+    """
+    lease = lease_ms(node, now) if node.reachable else None
+    if lease is not None:
+        node.lease_until = now + bounds.LEASE_S
+    return _model.ListRuns(lease, node.acked, wait_ms, node.generation)
 
 
 def list_now(node, now):
     """Ask for the list although an earlier request may be held back."""
     node.listing = True
-    return [
-        _model.ListRuns(lease_ms(node, now), node.acked, 0, node.generation)
-    ]
+    return [_list_effect(node, 0, now)]
 
 
 def on_list_timer(node, _, now):
@@ -291,7 +299,6 @@
     out = _check_lifetime(node, event.born, now)
     first = node.clock_offset_ms is None
     node.clock_offset_ms = event.clock_ms - now * MS_PER_S
-    node.lease_until = event.asked_at + bounds.LEASE_S
     if not node.reachable or first:
         node.reachable = True
         node.changed = True
--- a/azurepier/runner/_state.py
+++ b/azurepier/runner/_state.py
@@ -36,12 +36,16 @@
 
 @attrs.define(eq=False)
 class Pace:
-    """Work done and the time that it took, decaying (s)."""
+    """Work done and the time that it took, decaying (s).
+
+    `at` is the time of the last measurement.
+    """
 
     work: float = 0.0
     time: float = 0.0
     recent_work: float = 0.0
     recent_time: float = 0.0
+    at: float = 0.0
 
 
 class Phase(enum.Enum):
@@ -53,7 +57,7 @@
     STOPPING = 4
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Link:
     """One run of an entry.
 
@@ -102,7 +106,7 @@
     standing: bool = False
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Run:
     """A task that was handed to the worker.
 
@@ -130,7 +134,7 @@
     progress: object = attrs.field(factory=Progress)
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Endpoint:
     """An endpoint process.
 
@@ -140,7 +144,7 @@
     clock_offset_ms : float or None
         The worker's clock less the process's (ms).
     lease_until : float
-        End of the lease last confirmed (s).
+        Latest end of a lease that the worker may have (s).
     listing : bool
         Whether a request for the list is open.
     listed_as_of : float
--- a/azurepier/testing/__init__.py
+++ b/azurepier/testing/__init__.py
@@ -8,14 +8,24 @@
 from azurepier.testing._fleet import Fleet
 from azurepier.testing._fleet import make_fleet
 from azurepier.testing._fleet import spec
+from azurepier.testing._pool import make_pool
+from azurepier.testing._pool import PoolFleet
+from azurepier.testing._pool import queue
+from azurepier.testing._worker import Ledger
+from azurepier.testing._worker import PoolWorker
 
 __all__ = [
     'Driver',
     'Fleet',
+    'Ledger',
+    'PoolFleet',
+    'PoolWorker',
     'Process',
     'check_job',
     'check_no_double_start',
     'configuration',
     'make_fleet',
+    'make_pool',
+    'queue',
     'spec',
 ]
--- a/azurepier/testing/_driver.py
+++ b/azurepier/testing/_driver.py
@@ -19,7 +19,7 @@
 DIAL_DELAY_S = 0.001
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Process:
     """One process: a node, its connections and its faults."""
 
@@ -38,7 +38,7 @@
     tasks: dict = attrs.field(factory=dict)
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class _Connection:
     """Both ends of a connection; `silent` drops all that is sent."""
 
@@ -48,7 +48,7 @@
     last: list = attrs.field(factory=lambda: [0.0, 0.0])
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Driver:
     """Event loop on virtual time.
 
@@ -71,7 +71,9 @@
     on_platform_read: typing.Callable | None = None
     sent: dict = attrs.field(factory=dict)  # message class name -> count
     records: list | None = None
+    notes: list | None = None
     cuts: set = attrs.field(factory=set)
+    table: dict = attrs.field(factory=lambda: dict(_EFFECTS))
     _heap: list = attrs.field(factory=list)
     _counter: int = 0
     _conns: int = 0
@@ -115,7 +117,7 @@
             process.inbox.append(event)
             return
         for effect in process.handle(process.node, event, self.now):
-            _EFFECTS[type(effect)](self, process, effect)
+            self.table[type(effect)](self, process, effect)
         self._arm(process)
 
     def _arm(self, process):
@@ -237,6 +239,16 @@
         if link is not None:
             self._close(link)
 
+    def _abort(self, process, effect):
+        """Close a connection; what is on its way to the peer is lost."""
+        link = process.connections.pop(effect.conn, None)
+        if link is not None:
+            self._close(link)
+
+    def _note(self, process, effect):
+        if self.notes is not None:
+            self.notes.append((self.now, process.name, effect))
+
     def _answer(self, process, effect):
         self.answers[(process.name, effect.req)] = (self.now, effect.body)
         if self.on_answer is not None:
@@ -278,6 +290,8 @@
     effects.Send: Driver._send,
     effects.Dial: Driver._dial,
     effects.Close: Driver._close_effect,
+    effects.Abort: Driver._abort,
+    effects.Note: Driver._note,
     effects.Answer: Driver._answer,
     effects.RunTask: Driver._run_task,
     effects.StopTask: Driver._stop_task,
--- /dev/null
+++ b/azurepier/testing/_pool.py
@@ -0,0 +1,280 @@
+"""A fleet of entries, endpoint processes and workers on virtual time."""
+
+import random
+
+import attrs
+
+from azurepier import dispatch
+from azurepier.kernel import effects
+from azurepier.kernel import events
+from azurepier import runner
+from azurepier.testing import _driver
+from azurepier.testing import _worker
+
+HEARTBEAT_S = 1.5
+# Callers send again so long after their connection broke (s).
+RESEND_S = 1.3
+GRACE_S = 6.0
+
+
+@attrs.frozen
+class Bounds:
+    """Times of the model's deployment (s)."""
+
+    grace_s: float = GRACE_S
+
+
+def queue(name='q', max_attempts=3, stretch=1.6, margin_s=0.06):
+    """Return a queue that the pool serves."""
+    return dispatch.Queue(
+        name=name,
+        pool='pool',
+        priority=0,
+        max_attempts=max_attempts,
+        stretch=stretch,
+        margin_s=margin_s,
+    )
+
+
+@attrs.define(eq=False)
+class Call:
+    """A caller's job: all its submissions until it has an answer.
+
+    Attributes
+    ----------
+    body : object or None
+        The answer.
+    tries : int
+        Submissions so far.
+    started_before : int
+        Runs of the job's tasks before the present submission.
+    """
+
+    job: object
+    queue: object
+    sent_at: float
+    entry: str
+    req: int = 0
+    body: object = None
+    answered_at: float | None = None
+    tries: int = 0
+    started_before: int = 0
+    left: bool = False
+
+
+@attrs.define(eq=False, repr=False)
+class PoolFleet:
+    """Entries, endpoint processes, workers and callers.
+
+    Attributes
+    ----------
+    works : dict of str to tuple
+        ``(work_s, cpu, fails)`` by a job's spec.
+    calls : list of Call
+    """
+
+    driver: _driver.Driver
+    ledger: _worker.Ledger
+    works: dict = attrs.field(factory=dict)
+    entries: dict = attrs.field(factory=dict)
+    endpoints: dict = attrs.field(factory=dict)
+    workers: dict = attrs.field(factory=dict)
+    calls: list = attrs.field(factory=list)
+    open: dict = attrs.field(factory=dict)
+    answers: int = 0
+    wrong_answers: list = attrs.field(factory=list)
+    reqs: int = 0
+    incarnations: int = 0
+
+    def run_for(self, seconds):
+        """Let the time pass."""
+        self.driver.run_until(self.driver.now + seconds)
+
+    # Processes -----------------------------------------------------------
+
+    def start_entry(self, name):
+        """Start an entry, or start it again after its end."""
+        self.incarnations += 1
+        options = dispatch.Options(
+            name=name,
+            domain='d',
+            address=f'{name}:1',
+            seeds=tuple(f'e{index}:1' for index in range(3)),
+            bounds=Bounds(),
+        )
+        rng = random.Random(f'{name}-{self.incarnations}')
+        node = dispatch.create(options, rng, self.driver.now)
+        process = _driver.Process(
+            name, node, dispatch.handle, address=options.address
+        )
+        self.entries[name] = process
+        self.driver.add(process)
+        routing = dispatch.Routing(1, {('h', '/q/'): queue()})
+        self.driver.feed(process, dispatch.RoutingSeen(routing))
+        return process
+
+    def start_endpoint(self, name):
+        """Start an endpoint process, or start it again after its end."""
+        self.incarnations += 1
+        options = runner.Options(
+            name=name,
+            domain='d',
+            pool='pool',
+            seeds=tuple(f'e{index}:1' for index in range(3)),
+            generation=self.incarnations,
+            grace_s=GRACE_S,
+        )
+        rng = random.Random(f'{name}-{self.incarnations}')
+        node = runner.create(options, rng, self.driver.now)
+        process = _driver.Process(name, node, runner.handle)
+        process.worker = self.workers[name]
+        self.endpoints[name] = process
+        self.driver.add(process)
+        return process
+
+    def add_worker(self, name, cpu, speed):
+        """Add a worker whose heartbeats go to its endpoint process."""
+        worker = _worker.PoolWorker(
+            self.driver,
+            self.ledger,
+            name,
+            cpu,
+            speed,
+            self.works.__getitem__,
+            rng=random.Random(f'{self.driver.seed}-{name}'),
+        )
+        self.workers[name] = worker
+        self.driver.after(0.05, self._heartbeat, name)
+        return worker
+
+    def _heartbeat(self, name):
+        worker = self.workers[name]
+        process = self.endpoints.get(name)
+        if process is not None and process.alive and not worker.dark:
+            self.driver.feed(process, runner.WorkerSeen(worker.report()))
+        self.driver.after(HEARTBEAT_S, self._heartbeat, name)
+
+    def kill_entry(self, name):
+        """Kill an entry; its callers send again, to another one."""
+        process = self.entries[name]
+        self.driver.kill(process)
+        for req, call in list(self.open.items()):
+            if call.entry == name:
+                del self.open[req]
+                self.driver.after(RESEND_S, self._send, call)
+
+    # Callers -------------------------------------------------------------
+
+    def submit(self, work_s, count=1, cpu=1000, entry=None, **options):
+        """Submit a job; return its call.
+
+        Parameters
+        ----------
+        work_s : float
+            Run time of a task on a worker of speed 1 (s).
+        count, cpu : int
+        entry : str, optional
+            The entry that gets it; otherwise one by turns.
+        declared_ms : int, optional
+        fails : bool, optional
+        queue : Queue, optional
+        """
+        number = len(self.calls)
+        spec = f'job-{number}'
+        self.works[spec] = (work_s, cpu, options.get('fails', False))
+        job = dispatch.JobRequest(
+            id=f'{number:016x}',
+            spec=spec,
+            count=count,
+            declared_ms=options.get('declared_ms', round(work_s * 1000)),
+            needs=dispatch.Needs(cpu),
+        )
+        call = Call(
+            job, options.get('queue', queue()), self.driver.now, entry or ''
+        )
+        self.calls.append(call)
+        self._send(call)
+        return call
+
+    def _send(self, call):
+        if call.left:
+            return
+        names = [
+            name
+            for name, process in self.entries.items()
+            if process.alive and not process.node.draining
+        ]
+        if not names:
+            self.driver.after(0.1, self._send, call)
+            return
+        if call.entry not in names:
+            call.entry = names[(len(self.calls) + call.tries) % len(names)]
+        self.reqs += 1
+        call.tries += 1
+        call.req = self.reqs
+        call.started_before = self._started(call)
+        self.open[call.req] = call
+        event = dispatch.Submit(call.req, call.queue, call.job)
+        self.driver.feed(self.entries[call.entry], event)
+
+    def break_off(self, call):
+        """Break a caller's connection; it sends again to another entry."""
+        if self.open.pop(call.req, None) is None:
+            return
+        process = self.entries[call.entry]
+        self.driver.feed(process, events.Abandon(call.req))
+        call.entry = ''
+        self.driver.after(RESEND_S, self._send, call)
+
+    def on_answer(self, process, req, body):
+        """Take an answer; one for a caller that has gone is dropped."""
+        call = self.open.pop(req, None)
+        if call is None:
+            return
+        verdict = getattr(body, 'verdict', None)
+        if verdict is dispatch.Verdict.MAY_HAVE_RUN:
+            call.entry = ''
+            self.driver.after(RESEND_S, self._send, call)
+            return
+        call.body = body
+        call.answered_at = self.driver.now
+        self.answers += 1
+        if verdict is dispatch.Verdict.NOT_RUN:
+            if self._started(call) > call.started_before:
+                self.wrong_answers.append(call)
+        elif body.succeeded:
+            if not all(map(self.ledger.done.get, _names(call))):
+                self.wrong_answers.append(call)
+
+    def _started(self, call):
+        started = self.ledger.started
+        return sum(started.get(name, 0) for name in _names(call))
+
+
+def _names(call):
+    return [f'{call.job.id}.0.0.{i}' for i in range(call.job.count)]
+
+
+def make_pool(seed=1, entries=3, speeds=(1.0, 1.0, 1.0), cpu=8000):
+    """Return a fleet that has been running for two seconds."""
+    driver = _driver.Driver(seed, lambda a, b: 0.0005)
+    fleet = PoolFleet(driver, _worker.Ledger())
+    driver.on_answer = fleet.on_answer
+    driver.notes = []
+    driver.table[runner.StartRun] = lambda _, process, effect: (
+        process.worker.start(process, effect)
+    )
+    driver.table[runner.StopRun] = lambda _, process, effect: (
+        process.worker.stop(process, effect)
+    )
+    driver.table[runner.ListRuns] = lambda _, process, effect: (
+        process.worker.list(process, effect)
+    )
+    driver.table[effects.Decode] = lambda _, process, effect: None
+    for index in range(entries):
+        fleet.start_entry(f'e{index}')
+    for index, speed in enumerate(speeds):
+        fleet.add_worker(f'w{index}', cpu, speed)
+        fleet.start_endpoint(f'w{index}')
+    fleet.run_for(2.0)
+    return fleet
