Move runs only where that helps their job; average speeds over more work

Speeds of workers were off by 50 % in the first seconds, since all tasks of a job share the error of its declared run time.

A run is moved from 8 percent on, and only if it makes its objective in time elsewhere, with the time of the stop, or if its worker has turned slow. The speed is averaged over 60 s of run time instead of 15.

Ruled out: no moves at all; tasks that stand still would hold their jobs.

--- a/azurepier/dispatch/_progress.py
+++ b/azurepier/dispatch/_progress.py
@@ -13,9 +13,12 @@
 
 # Progress below this says little about the whole (percent).
 LEAST_PERCENT = 8
-# A run is moved only if what remains takes at least this many times as long
-# as the whole task elsewhere; what was done so far is thrown away.
-MOVE_FACTOR = 1.5
+# A run that ends late anyway is moved only if what remains takes at least
+# this many times as long as the whole task elsewhere: its worker has turned
+# slow. What was done so far is thrown away.
+MOVE_FACTOR = 3.0
+# Time of a stop, of its report and of the new start (s).
+MOVE_S = 0.1
 # Starts of a task after which it stays where it is.
 MOVES_MAX = 3
 MS_PER_S = 1000
@@ -57,13 +60,16 @@
         return []
     remaining_s = step.remaining_ms / MS_PER_S
     stuck = step.remaining_ms < 0
-    if not stuck and now + remaining_s <= job.objective_at:
+    if not stuck and (
+        step.percent < LEAST_PERCENT or now + remaining_s <= job.objective_at
+    ):
         return []
     target = _target(node, endpoint, job, now)
     if target is None:
         return []
-    elsewhere_s = job.work_s / target.speed
-    if not stuck and remaining_s < elsewhere_s * MOVE_FACTOR:
+    elsewhere_s = MOVE_S + job.work_s / target.speed
+    in_time = now + elsewhere_s <= job.objective_at
+    if not stuck and not in_time and remaining_s < elsewhere_s * MOVE_FACTOR:
         return []
     run.stopping = True
     task.avoid = (*task.avoid, endpoint.name)
--- a/azurepier/runner/_progress.py
+++ b/azurepier/runner/_progress.py
@@ -11,12 +11,14 @@
 
 # Speed of a worker that nothing is known of, and its weight (s of run time).
 DEFAULT_SPEED = 1.0
-PRIOR_S = 0.3
+PRIOR_S = 2.0
 # Run time over which the speed is averaged (s). Declared times are wrong by
-# about 40 %, so some dozens of tasks are needed.
-MEMORY_S = 15.0
-# Run time over which a sudden change shows (s).
+# about 40 %, alike for all tasks of a job, so dozens of jobs are needed.
+MEMORY_S = 60.0
+# Run time over which a sudden change shows, and the weight of the average
+# beside it (s).
 RECENT_S = 2.0
+RECENT_PRIOR_S = 0.3
 # A worker whose recent speed is below this share of its average has turned
 # slow. Its average is kept meanwhile, but for a tenth of what is measured,
 # so that it is used again soon after the fault.
@@ -112,8 +114,8 @@
 
 
 def _recent(pace, average):
-    return (pace.recent_work + PRIOR_S * average) / (
-        pace.recent_time + PRIOR_S
+    return (pace.recent_work + RECENT_PRIOR_S * average) / (
+        pace.recent_time + RECENT_PRIOR_S
     )
 
 
