Share endpoints by demand, dial again soon, use slow endpoints before refusing

One entry had most of the clients and rejected jobs by a third of the endpoints while others hardly used theirs. Jobs were rejected with 50 to 80 cores free on slow endpoints, and for the few cores of the first endpoint that came back.

Attempts to connect end after 0.3 s. Entries tell each other what they want, and each counts on a share in proportion. A job that would be rejected starts on slow endpoints if all its tasks fit. While endpoints come back, for 0.15 s nothing is rejected for its expected wait. Rejections log their inputs.

Ruled out: 0.5 s without such rejections; a backlog of 35 jobs was rejected at its end.

--- a/azurepier/daemon/_http.py
+++ b/azurepier/daemon/_http.py
@@ -17,7 +17,9 @@
 # HTTP servers commonly close connections that are idle for 5 s. A request
 # that meets such a close counts as sent, so that its task would be lost.
 IDLE_LIMIT_S = 2.0
-CONNECT_LIMIT_S = 1.0
+# A new attempt reaches a server that is back sooner than the packet that is
+# repeated after a second.
+CONNECT_LIMIT_S = 0.4
 
 
 class NotSentError(kernel.AzurepierError):
--- a/azurepier/dispatch/_links.py
+++ b/azurepier/dispatch/_links.py
@@ -3,6 +3,7 @@
 import attrs
 
 from azurepier.dispatch import _bounds
+from azurepier.dispatch import _demand
 from azurepier.dispatch import _runs
 from azurepier.dispatch import _state
 from azurepier.kernel import effects
@@ -194,6 +195,7 @@
     return messages.Beat(
         config_version=_state.config_version(node),
         entries=known_addresses(node),
+        demand=_demand.cores_wanted(node),
     )
 
 
@@ -203,6 +205,7 @@
         if address not in node.addresses:
             learn(node, address, now)
     learn(node, peer.address, now)
+    peer.demand = msg.demand
     peer.config_version = max(peer.config_version, msg.config_version)
     return offer_config(node, peer)
 
@@ -219,6 +222,7 @@
     """Send heartbeats, drop silent connections and dial other entries."""
     node.timers.set('beat', now + _bounds.BEAT_S)
     out = drop_silent(node, now)
+    _demand.forget(node)
     msg = beat(node)
     out += [effects.Send(conn, msg) for conn in node.by_conn]
     out += [effects.Send(conn, msg) for conn in node.peers]
--- a/azurepier/dispatch/_node.py
+++ b/azurepier/dispatch/_node.py
@@ -1,6 +1,9 @@
 """An entry that dispatches to pools, as a state machine without I/O."""
 
+import attrs
+
 from azurepier.dispatch import _bounds
+from azurepier.dispatch import _demand
 from azurepier.dispatch import _links
 from azurepier.dispatch import _model
 from azurepier.dispatch import _order
@@ -27,6 +30,8 @@
 # Work that is still open when the process has to end is given back so long
 # before (s).
 DRAIN_MARGIN_S = 0.7
+# While endpoints connect one by one, what they offer together is not known.
+OPENING_S = 0.15
 # With no endpoint reachable for so long, begun jobs are given up (s).
 STRANDED_S = 1.0
 MS_PER_S = 1000
@@ -123,6 +128,7 @@
         for index in reversed(range(spec.count))
     ]
     job.remaining = spec.count
+    _demand.note_arrival(node, job)
     node.jobs[spec.id] = job
     node.job_of[event.req] = job
     node.count('jobs')
@@ -206,26 +212,41 @@
         for endpoint in node.by_conn.values()
         if endpoint.pool == pool and _placement.is_open(endpoint, now)
     ]
-    supply = _supply(node, open_)
+    supply = _supply(node, pool, open_, now)
     ordered = _order.in_order(jobs, supply.fastest)
     for job in ordered:
         _start_tasks(node, open_, job, now)
     waiting = [job for job in ordered if job.waiting]
     out = _give_back_stranded(node, pool, waiting, bool(open_), now)
-    for job in _order.hopeless(waiting, supply, now):
+    for job, wait_s, slack_s in _order.hopeless(waiting, supply, now):
+        if _placement.has_room_for(open_, job):
+            # Slow endpoints are free; late is better than not at all.
+            _start_tasks(node, open_, job, now, at_once=True)
+            if job.begun:
+                continue
         backlog = sum(map(_order.work, waiting))
         after = _order.retry_after(backlog / supply.rate, node.rng)
         rejected = _model.Rejected('overload', after)
+        inputs = {
+            'job_id': job.spec.id,
+            'wait_ms': round(wait_s * MS_PER_S),
+            'slack_ms': round(slack_s * MS_PER_S),
+            'waiting_jobs': len(waiting),
+            'cores': round(supply.rate, 1),
+            'endpoints': len(open_),
+            'free_cpu': sum(endpoint.free_cpu for endpoint in open_),
+        }
+        out.append(effects.Note('job_hopeless', inputs))
         out += _runs.finish(node, job, rejected, now)
     return out
 
 
-def _start_tasks(node, open_, job, now):
+def _start_tasks(node, open_, job, now, at_once=False):
     while job.waiting:
         task = job.waiting[-1]
         if task.not_before > now or task.name in node.running_names:
             return
-        endpoint = _placement.choose(open_, job, now, node.rng)
+        endpoint = _placement.choose(open_, job, now, node.rng, at_once)
         if endpoint is None:
             return
         _runs.start(node, endpoint, job, now)
@@ -237,7 +258,8 @@
     Another entry may reach some; the caller sends again.
     """
     if any_open:
-        node.stranded_since.pop(pool, None)
+        if node.stranded_since.pop(pool, None) is not None:
+            node.opened_at[pool] = now
         return []
     since = node.stranded_since.setdefault(pool, now)
     if now - since < STRANDED_S:
@@ -253,12 +275,14 @@
     return out
 
 
-def _supply(node, open_):
+def _supply(node, pool, open_, now):
     if not open_:
         return _order.UNKNOWN
     fastest = max(endpoint.speed for endpoint in open_)
+    if now - node.opened_at.get(pool, now) < OPENING_S:
+        return attrs.evolve(_order.UNKNOWN, fastest=fastest)
     cores = sum(endpoint.cpu * endpoint.speed for endpoint in open_) / 1000
-    return _order.Supply(fastest, cores / (len(node.peers) + 1))
+    return _order.Supply(fastest, cores * _demand.share(node))
 
 
 # Connections -------------------------------------------------------------
--- a/azurepier/dispatch/_order.py
+++ b/azurepier/dispatch/_order.py
@@ -66,6 +66,8 @@
 def hopeless(ordered, supply, now):
     """Return the jobs not begun that won't be answered in time.
 
+    Each comes with the wait that is expected and the slack that it has (s).
+
     Parameters
     ----------
     ordered : list of Job
@@ -79,7 +81,7 @@
         slack = start_by(job, supply.fastest) + TOLERANCE_S - now
         wait = ahead / supply.rate
         if not job.begun and (slack < 0 or wait * WAIT_FACTOR > slack):
-            found.append(job)
+            found.append((job, wait, slack))
         else:
             ahead += work(job)
     return found
--- a/azurepier/dispatch/_placement.py
+++ b/azurepier/dispatch/_placement.py
@@ -50,7 +50,17 @@
     return is_open(endpoint, now) and endpoint.failures < FAILURES_MAX
 
 
-def choose(endpoints, job, now, rng):
+def has_room_for(endpoints, job):
+    """Tell whether all waiting tasks of a job fit at once, wherever."""
+    needs = job.spec.needs
+    rooms = 0
+    for endpoint in endpoints:
+        if fits(endpoint, needs):
+            rooms += endpoint.free_cpu // max(needs.cpu, 1)
+    return rooms >= len(job.waiting)
+
+
+def choose(endpoints, job, now, rng, at_once=False):
     """Return the endpoint for the next task of a job, or None.
 
     Parameters
@@ -60,6 +70,8 @@
     job : Job
     now : float
     rng : random.Random
+    at_once : bool
+        Whether the task takes what is free instead of waiting.
     """
     needs = job.spec.needs
     limit = job.spec.max_per_worker
@@ -82,7 +94,7 @@
     best = min(
         able, key=lambda each: run_time(each) * (1 + JITTER * rng.random())
     )
-    if run_time(best) <= left:
+    if at_once or run_time(best) <= left:
         return best
     fastest = max(endpoint.speed for endpoint in endpoints)
     if job.work_s / fastest <= left:
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -155,6 +155,7 @@
     conn: int
     last_heard: float
     config_version: int = -1
+    demand: float = 0.0
 
 
 @attrs.define(eq=False, repr=False)
@@ -201,6 +202,10 @@
     drain_until: float = 0.0
     # Since when a pool has no open endpoint (s).
     stranded_since: dict = attrs.field(factory=dict)
+    # When the first endpoint of a pool came back after that (s).
+    # Recently arrived work, decaying (core-seconds).
+    arrived: float = 0.0
+    opened_at: dict = attrs.field(factory=dict)
     # Returns the number of open connections of callers.
     callers_connected: object = lambda: 0
     orders: dict = attrs.field(factory=dict)
--- a/azurepier/runner/_node.py
+++ b/azurepier/runner/_node.py
@@ -256,7 +256,7 @@
 def _on_beat_timer(node, _, now):
     node.timers.set('beat', now + bounds.BEAT_S)
     out = []
-    msg = messages.Beat(config_version=-1, entries=[])
+    msg = messages.Beat(config_version=-1, entries=[], demand=0.0)
     for link in list(node.by_conn.values()):
         if link.last_heard < now - bounds.SILENCE_S:
             out.append(effects.Abort(link.conn))
--- a/azurepier/wire/_sockets.py
+++ b/azurepier/wire/_sockets.py
@@ -13,7 +13,10 @@
 # Accepted connections that have not finished the handshake. Bounds what
 # peers without a key can occupy.
 MAX_HANDSHAKES = 512
-DIAL_TIMEOUT_S = 2.0
+# A machine without power does not answer the first packet, and the next one
+# is sent only after a second; a new attempt finds it sooner. Regions are a
+# tenth of a second apart at most.
+DIAL_TIMEOUT_S = 0.3
 _BACKLOG = 1024
 
 
--- a/azurepier/wire/gen/messages/ttypes.py
+++ b/azurepier/wire/gen/messages/ttypes.py
@@ -3614,18 +3614,21 @@
     Attributes:
      - config_version
      - entries
+     - demand
 
     """
 
     __slots__ = (
         'config_version',
         'entries',
+        'demand',
     )
 
 
-    def __init__(self, config_version=None, entries=None,):
+    def __init__(self, config_version=None, entries=None, demand=None,):
         self.config_version = config_version
         self.entries = entries
+        self.demand = demand
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3651,6 +3654,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.demand = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3672,6 +3680,10 @@
                 oprot.writeString(iter111.encode('utf-8') if sys.version_info[0] == 2 else iter111)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.demand is not None:
+            oprot.writeFieldBegin('demand', TType.DOUBLE, 3)
+            oprot.writeDouble(self.demand)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4150,6 +4162,7 @@
     None,  # 0
     (1, TType.I64, 'config_version', None, None, ),  # 1
     (2, TType.LIST, 'entries', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.DOUBLE, 'demand', None, None, ),  # 3
 )
 all_structs.append(RunStep)
 RunStep.thrift_spec = (
--- a/thrift/azurepier.thrift
+++ b/thrift/azurepier.thrift
@@ -257,6 +257,7 @@
 struct Beat {
   1: i64 config_version
   2: list<string> entries   // addresses of the entries known (entries only)
+  3: double demand          // cores that an entry's jobs want
 }
 
 struct RunStep {
