Serve begun jobs that are late last, and leave a reserve beside late jobs

Cause: in an overload a begun job that was already late took room from jobs that could still be in time, and a job that would be late could fill the last free endpoints.

--- a/azurepier/dispatch/_node.py
+++ b/azurepier/dispatch/_node.py
@@ -213,13 +213,13 @@
         if endpoint.pool == pool and _placement.is_open(endpoint, now)
     ]
     supply = _supply(node, pool, open_, now)
-    ordered = _order.in_order(jobs, supply.fastest)
+    ordered = _order.in_order(jobs, supply.fastest, now)
     for job in ordered:
         _start_tasks(node, open_, job, now)
     waiting = [job for job in ordered if job.waiting]
     out = _give_back_stranded(node, pool, waiting, bool(open_), now)
     for job, wait_s, slack_s in _order.hopeless(waiting, supply, now):
-        if _placement.has_room_for(open_, job):
+        if _placement.has_spare_room(open_, job):
             # Slow endpoints are free; late is better than not at all.
             _start_tasks(node, open_, job, now, at_once=True)
             if job.begun:
--- a/azurepier/dispatch/_order.py
+++ b/azurepier/dispatch/_order.py
@@ -55,12 +55,19 @@
     return len(job.waiting) * job.work_s * job.spec.needs.cpu / 1000
 
 
-def in_order(jobs, fastest):
-    """Return jobs in the order in which they are served."""
-    return sorted(
-        jobs,
-        key=lambda job: (not job.begun, start_by(job, fastest), job.spec.id),
-    )
+def in_order(jobs, fastest, now):
+    """Return jobs in the order in which they are served.
+
+    Begun jobs that can't be in time any more come last; they are finished
+    all the same.
+    """
+
+    def key(job):
+        at = start_by(job, fastest)
+        late = job.begun and at + TOLERANCE_S < now
+        return late, not job.begun, at, job.spec.id
+
+    return sorted(jobs, key=key)
 
 
 def hopeless(ordered, supply, now):
--- a/azurepier/dispatch/_placement.py
+++ b/azurepier/dispatch/_placement.py
@@ -13,6 +13,9 @@
 AVOIDED_S = 1.0
 # Time of the messages that a start and its end take (s).
 MESSAGES_S = 0.02
+# Part of the room that a job which will be late leaves for jobs that can
+# still be in time.
+RESERVE_SHARE = 0.15
 # Spread of equally good endpoints, so that entries choose different ones.
 JITTER = 0.05
 
@@ -50,14 +53,18 @@
     return is_open(endpoint, now) and endpoint.failures < FAILURES_MAX
 
 
-def has_room_for(endpoints, job):
-    """Tell whether all waiting tasks of a job fit at once, wherever."""
+def has_spare_room(endpoints, job):
+    """Tell whether all waiting tasks of a job fit beside the reserve."""
     needs = job.spec.needs
     rooms = 0
     for endpoint in endpoints:
         if fits(endpoint, needs):
             rooms += endpoint.free_cpu // max(needs.cpu, 1)
-    return rooms >= len(job.waiting)
+    if rooms < len(job.waiting):
+        return False
+    free = sum(endpoint.free_cpu for endpoint in endpoints)
+    total = sum(endpoint.cpu for endpoint in endpoints)
+    return free - len(job.waiting) * needs.cpu >= total * RESERVE_SHARE
 
 
 def choose(endpoints, job, now, rng, at_once=False):
--- a/azurepier/runner/_runs.py
+++ b/azurepier/runner/_runs.py
@@ -239,7 +239,7 @@
         return []
     node.timers.cancel(('stop', event.task, event.number))
     if node.strays.get(event.task) == event.number:
-        del node.strays[event.task]
+        # Lists made before the stop still show it.
         return []
     run = node.runs.get(event.task)
     if run is None or run.number != event.number:
