--- a/azurepier/daemon/_logs.py
+++ b/azurepier/daemon/_logs.py
@@ -7,6 +7,7 @@
 import attrs
 from pythonjsonlogger.json import JsonFormatter
 
+from azurepier.daemon import _log_output
 from azurepier.kernel import SettingsError
 
 # Of identical faults, this many are logged in each period.
@@ -17,7 +18,7 @@
 
 _FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
 _RENAMED = {'asctime': 'time', 'levelname': 'level', 'message': 'event'}
-_STREAMS = {'-': 'stderr', 'stdout': 'stdout'}
+STDOUT = 'stdout'
 _IDENTITY = ('peer', 'address', 'reason', 'error')
 
 
@@ -83,7 +84,8 @@
     Parameters
     ----------
     path : str
-        File, "-" for standard error or "stdout" for standard output.
+        File, "-" for standard error or "stdout" for standard output, which
+        is written without waiting for its reader.
 
     Raises
     ------
@@ -91,8 +93,10 @@
         If the file can't be opened.
     """
     try:
-        if path in _STREAMS:
-            handler = logging.StreamHandler(getattr(sys, _STREAMS[path]))
+        if path == STDOUT:
+            handler = _log_output.BoundedHandler(sys.stdout.fileno())
+        elif path == '-':
+            handler = logging.StreamHandler(sys.stderr)
         else:
             handler = logging.FileHandler(path)
     except OSError as exc:
--- /dev/null
+++ b/azurepier/daemon/_pool_metrics.py
@@ -0,0 +1,59 @@
+"""Metrics of the processes that serve pools, as Prometheus text.
+
+The client library is imported when metrics are first asked for: it takes
+30 ms and 3 MB, which most processes never need.
+"""
+
+import numbers
+
+import attrs
+
+
+@attrs.frozen
+class _Collector:
+    """Reads the counts of a shell and its node."""
+
+    shell: object
+
+    def collect(self):
+        """Yield metric families."""
+        from prometheus_client import core
+
+        status = self.shell.status()
+        role = status['role']
+        for key, value in status.items():
+            if isinstance(value, numbers.Real):
+                yield core.GaugeMetricFamily(
+                    f'azurepier_pool_{role}_{key}',
+                    f'{key} of the {role}.',
+                    value,
+                )
+        events = core.CounterMetricFamily(
+            f'azurepier_pool_{role}_events',
+            f'Events counted by the {role}.',
+            labels=['event'],
+        )
+        for name, count in status['counters'].items():
+            events.add_metric([name], count)
+        yield events
+        for name, found in self.shell.node.histograms.items():
+            yield core.HistogramMetricFamily(
+                f'azurepier_pool_{role}_{name}_seconds',
+                f'{name} at the {role}.',
+                buckets=found.cumulative(),
+                sum_value=found.total,
+            )
+        yield core.CounterMetricFamily(
+            'azurepier_handler_errors',
+            'Events that the node failed to handle.',
+            self.shell.handler_errors,
+        )
+
+
+def render(shell):
+    """Return the metrics of a process as text."""
+    import prometheus_client
+
+    registry = prometheus_client.CollectorRegistry()
+    registry.register(_Collector(shell))
+    return prometheus_client.generate_latest(registry)
--- a/azurepier/dispatch/_runs.py
+++ b/azurepier/dispatch/_runs.py
@@ -108,6 +108,7 @@
         outcome = 'succeeded' if body.succeeded else 'failed'
         out.append(effects.Note('job_ended', {**fields, 'outcome': outcome}))
         node.count(f'jobs_{outcome}')
+        node.observe(f'job_{outcome}', now - job.received_at)
         node.recent[job.spec.id] = (now, body)
         while next(iter(node.recent.values()))[0] < now - RECENT_S:
             node.recent.popitem(last=False)
@@ -118,6 +119,7 @@
             effects.Note('job_rejected', {**fields, 'reason': body.reason})
         )
         node.count(f'rejected_{body.reason}')
+        node.observe('job_rejected', now - job.received_at)
     return out
 
 
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from azurepier.kernel import Histogram
 from azurepier.kernel import Timers
 
 
@@ -210,7 +211,7 @@
     callers_connected: object = lambda: 0
     orders: dict = attrs.field(factory=dict)
     counters: collections.Counter = attrs.field(factory=collections.Counter)
-    waits: object = None
+    histograms: dict = attrs.field(factory=dict)
 
     @property
     def draining(self):
@@ -221,6 +222,10 @@
         """Add to a counter that the metrics show."""
         self.counters[name] += number
 
+    def observe(self, name, seconds):
+        """Count a latency (s) for the metrics."""
+        self.histograms.setdefault(name, Histogram()).observe(seconds)
+
     def hello(self, session):
         """Return the first message on a new connection."""
         from azurepier.kernel import messages
--- a/azurepier/runner/_runs.py
+++ b/azurepier/runner/_runs.py
@@ -131,6 +131,7 @@
 def _started(node, run, result, now):
     run.phase = _state.Phase.RUNNING
     run.sure_at = now
+    node.observe('start', now - run.asked_at)
     return want_list(node, now)
 
 
@@ -484,6 +485,7 @@
     elif status is Status.FAILED:
         _room.note_failed(node, order.task.partition('.')[0], now)
     node.count(f'ended_{status.name.lower()}')
+    node.observe(f'run_{status.name.lower()}', now - run.asked_at)
     run.link.fresh_ends.append(_end_message(order, status, run_ms, reason))
     if status is Status.DONE:
         return []
--- a/azurepier/runner/_state.py
+++ b/azurepier/runner/_state.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from azurepier.kernel import Histogram
 from azurepier.kernel import Timers
 
 
@@ -182,12 +183,17 @@
     failed_at: float = 0.0
     draining: bool = False
     changed: bool = False
+    histograms: dict = attrs.field(factory=dict)
     counters: collections.Counter = attrs.field(factory=collections.Counter)
 
     def count(self, name, number=1):
         """Add to a counter that the metrics show."""
         self.counters[name] += number
 
+    def observe(self, name, seconds):
+        """Count a latency (s) for the metrics."""
+        self.histograms.setdefault(name, Histogram()).observe(seconds)
+
     def hello(self, session):
         """Return the first message on a new connection."""
         from azurepier.kernel import messages
