Refuse an answer over the limit however it arrives

The client checked the length of an answer after the parser had taken a part; if the last part both completed the answer and exceeded the limit, the answer was accepted. It depends on how the kernel cuts the answer up. The check is made when the answer is complete, too.

Ruled out: the load of the machine and the leases of the test, since the answer was delivered, not given up.

Measured: the new test with an answer in one part fails before and passes after.

--- a/azurepier/daemon/_http.py
+++ b/azurepier/daemon/_http.py
@@ -104,6 +104,9 @@
         """Hand over the answer, unless it is an interim one."""
         if self.status < 200:
             return
+        if self.received > self.limit:
+            self._fail(AnswerTooLongError(self.status, self.limit))
+            return
         self.reusable = self.parser.should_keep_alive()
         if not self.answer.done():
             self.answer.set_result((self.status, b''.join(self.body)))
