--- a/standins/_server.py
+++ b/standins/_server.py
@@ -26,6 +26,7 @@
     path: str
     body: bytes
     headers: dict = attrs.field(factory=dict)
+    query: str = ''
 
     def json(self):
         """Return the JSON object in the body, which may be empty."""
@@ -98,9 +99,11 @@
             self.transport.abort()
 
     def on_message_complete(self):
-        path = httptools.parse_url(self.url).path.decode()
+        url = httptools.parse_url(self.url)
+        path = url.path.decode()
+        query = (url.query or b'').decode()
         method = self.parser.get_method().decode()
-        request = Request(method, path, bytes(self.body), self.headers)
+        request = Request(method, path, bytes(self.body), self.headers, query)
         self.url = b''
         self.headers = {}
         self.body.clear()
