Log where a job's tasks ran and how old the reports behind a rejection are

Cause: the log of a late job did not tell which endpoints it used, and that of a rejected one not the age of what was known of the endpoints. One field in the line of the job's end, since a line for each start would be the bulk of the log.

--- a/azurepier/dispatch/_node.py
+++ b/azurepier/dispatch/_node.py
@@ -235,12 +235,18 @@
             'cores': round(supply.rate, 1),
             'endpoints': len(open_),
             'free_cpu': sum(endpoint.free_cpu for endpoint in open_),
+            'oldest_report_ms': round(_oldest_s(open_, now) * MS_PER_S),
         }
         out.append(effects.Note('job_hopeless', inputs))
         out += _runs.finish(node, job, rejected, now)
     return out
 
 
+def _oldest_s(endpoints, now):
+    """Return the age of the oldest news from an endpoint (s)."""
+    return max((now - each.last_heard for each in endpoints), default=0.0)
+
+
 def _start_tasks(node, open_, job, now, at_once=False):
     while job.waiting:
         task = job.waiting[-1]
--- a/azurepier/dispatch/_runs.py
+++ b/azurepier/dispatch/_runs.py
@@ -48,6 +48,7 @@
     endpoint.per_job[job.spec.id] += 1
     node.running_names[task.name] += 1
     job.running.add((endpoint.incarnation, seq))
+    job.placed[endpoint.name] += 1
     reserve(endpoint, needs)
     order = messages.RunOrder(
         seq=seq,
@@ -103,6 +104,7 @@
         'objective_ms': round((job.objective_at - job.received_at) * 1000),
         'declared_ms': job.spec.declared_ms,
         'work_ms': round(job.work_s * 1000) if job.measured else None,
+        'placed': dict(job.placed),
     }
     if isinstance(body, _model.Finished):
         outcome = 'succeeded' if body.succeeded else 'failed'
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -75,6 +75,8 @@
     running: set = attrs.field(factory=set)
     remaining: int = 0
     may_have_run: bool = False
+    # Starts by the endpoint's name, for the log.
+    placed: collections.Counter = attrs.field(factory=collections.Counter)
     # Whether `work_s` comes from progress, not from what was declared.
     measured: bool = False
 
