Start with the libraries' own compiled modules again

An endpoint process started 1.04 s after its machine instead of 0.44 s.

A test checks that the start sets none.

Ruled out: compiling the dependencies there as well; the standard library would still be missing.

--- a/tests/adapter/test_decode.py
+++ b/tests/adapter/test_decode.py
@@ -1,7 +1,10 @@
 """What the platform writes, and what it must not make of it."""
 
 import json
+import pathlib
 import platform as stdlib_platform
+import subprocess
+import sys
 import tomllib
 
 from adapter import _front
@@ -15,6 +18,7 @@
 from azurepier.kernel import SettingsError
 from azurepier import runner
 
+ROOT = pathlib.Path(__file__).parents[2]
 SETTINGS = '''
 node_name = "edge-1"
 ip = "127.0.0.1"
@@ -242,9 +246,28 @@
         """Guards against this folder in place of the standard library's."""
         assert stdlib_platform.python_version()
 
+    def test_compiled_libraries_are_used(self):
+        """Guards against a start that compiles the standard library."""
+        code = (
+            'import runpy, sys\n'
+            "sys.argv = ['run.py', 'none']\n"
+            'try:\n'
+            "    runpy.run_path('platform/run.py', run_name='__main__')\n"
+            'except SystemExit:\n'
+            '    print(sys.pycache_prefix)\n'
+        )
+        found = subprocess.run(
+            [sys.executable, '-c', code],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        assert found.stdout.strip() == 'None'
+
     def test_metrics_address_of_the_deploy_file(self):
         """Guards against metrics that are looked for on another port."""
-        with open('deploy/system.toml', 'rb') as file:
+        with open(ROOT / 'deploy' / 'system.toml', 'rb') as file:
             roles = tomllib.load(file)['roles']
         address = f'{_front.METRICS_PORT}{_front.METRICS_PATH}'
         assert {role['metrics'] for role in roles.values()} == {address}
