Count on the expected wait from the start

Cause: the time at which a pool's first endpoint came back defaulted to "now", so that the expected wait was ignored until a pool had been without endpoints once. Jobs that could not be in time behind what was ahead of them waited until their slack was used up.

The default is "long ago". Three quarters of the expected wait are held against a job's slack, since run times are known to about 40 %.

Ruled out: the whole expected wait. Late answers fall from 169 to 121.

--- a/azurepier/dispatch/_node.py
+++ b/azurepier/dispatch/_node.py
@@ -1,5 +1,7 @@
 """An entry that dispatches to pools, as a state machine without I/O."""
 
+import math
+
 import attrs
 
 from azurepier.dispatch import _bounds
@@ -285,7 +287,7 @@
     if not open_:
         return _order.UNKNOWN
     fastest = max(endpoint.speed for endpoint in open_)
-    if now - node.opened_at.get(pool, now) < OPENING_S:
+    if now - node.opened_at.get(pool, -math.inf) < OPENING_S:
         return attrs.evolve(_order.UNKNOWN, fastest=fastest)
     cores = sum(endpoint.cpu * endpoint.speed for endpoint in open_) / 1000
     return _order.Supply(fastest, cores * _demand.share(node))
--- a/azurepier/dispatch/_order.py
+++ b/azurepier/dispatch/_order.py
@@ -10,9 +10,9 @@
 
 import attrs
 
-# Run times are known to about 40 %, so a job is turned away only if the
-# expected wait exceeds its slack by this factor.
-WAIT_FACTOR = 1.0
+# Run times are known to about 40 %, so a job is turned away only if this part
+# of the expected wait exceeds its slack.
+WAIT_FACTOR = 0.75
 # Part of the objective that a job may be expected to miss (s): the time of
 # messages and of the next pass.
 TOLERANCE_S = 0.03
