Let endpoint processes offer trials of suspect workers

Cause: each entry sent a task a second to a worker whose tasks failed or stood still, so that the number of late jobs grew with the entries; and a worker that had turned slow counted as fast again one second after its last task had been moved away.

The endpoint process, which sees the tasks of all entries, offers the worker to one entry at a time for one task, after 0.5, 1, 2, 2 s. A slow worker counts as slow until a measurement shows otherwise.

Ruled out: longer pauses (a worker that has recovered stands idle).

--- a/azurepier/dispatch/_node.py
+++ b/azurepier/dispatch/_node.py
@@ -212,7 +212,7 @@
     open_ = [
         endpoint
         for endpoint in node.by_conn.values()
-        if endpoint.pool == pool and _placement.is_open(endpoint, now)
+        if endpoint.pool == pool and _placement.is_open(endpoint)
     ]
     supply = _supply(node, pool, open_, now)
     ordered = _order.in_order(jobs, supply.fastest, now)
@@ -286,6 +286,8 @@
 def _supply(node, pool, open_, now):
     if not open_:
         return _order.UNKNOWN
+    # Endpoints that fail their tasks take a trial now and then.
+    open_ = [each for each in open_ if _placement.is_sound(each)] or open_
     fastest = max(endpoint.speed for endpoint in open_)
     if now - node.opened_at.get(pool, -math.inf) < OPENING_S:
         return attrs.evolve(_order.UNKNOWN, fastest=fastest)
--- a/azurepier/dispatch/_placement.py
+++ b/azurepier/dispatch/_placement.py
@@ -2,15 +2,13 @@
 
 Load pattern: endpoints whose speeds differ by a factor of two to three. A
 task that is too long for a slow endpoint waits for a faster one while it can
-still be on time there; a short one uses what is free. Endpoints on which
-several tasks of different jobs failed in a row get a single task from time
-to time until one succeeds.
+still be on time there; a short one uses what is free. An endpoint process
+whose worker fails its tasks offers no room but for a trial.
 """
 
-# Failed tasks of distinct jobs in a row after which an endpoint is avoided.
+# Failed tasks of distinct jobs in a row after which an endpoint is not counted
+# on.
 FAILURES_MAX = 2
-# How long an endpoint is avoided before the next trial (s).
-AVOIDED_S = 1.0
 # Time of the messages that a start and its end take (s).
 MESSAGES_S = 0.02
 # Part of the room that a job which will be late leaves for jobs that can
@@ -39,18 +37,14 @@
     )
 
 
-def is_open(endpoint, now):
+def is_open(endpoint):
     """Tell whether the endpoint may get tasks at all."""
-    return (
-        endpoint.conn is not None
-        and endpoint.accepting
-        and now >= endpoint.blocked_until
-    )
+    return endpoint.conn is not None and endpoint.accepting
 
 
-def is_sound(endpoint, now):
+def is_sound(endpoint):
     """Tell whether the endpoint is open and does not fail its tasks."""
-    return is_open(endpoint, now) and endpoint.failures < FAILURES_MAX
+    return is_open(endpoint) and endpoint.failures < FAILURES_MAX
 
 
 def has_spare_room(endpoints, job):
--- a/azurepier/dispatch/_progress.py
+++ b/azurepier/dispatch/_progress.py
@@ -95,7 +95,7 @@
         for each in node.by_conn.values()
         if each is not endpoint
         and each.pool == job.queue.pool
-        and _placement.is_sound(each, now)
+        and _placement.is_sound(each)
         and _placement.fits(each, job.spec.needs)
     ]
     return max(others, key=lambda each: each.speed, default=None)
--- a/azurepier/dispatch/_runs.py
+++ b/azurepier/dispatch/_runs.py
@@ -1,7 +1,6 @@
 """Starts, stops and ends of runs, and what they mean for their jobs."""
 
 from azurepier.dispatch import _model
-from azurepier.dispatch import _placement
 from azurepier.dispatch import _state
 from azurepier.kernel import effects
 from azurepier.kernel import messages
@@ -62,8 +61,6 @@
     )
     node.orders.setdefault(endpoint.conn, []).append(order)
     node.count('starts')
-    if endpoint.failures >= _placement.FAILURES_MAX:
-        endpoint.blocked_until = now + _placement.AVOIDED_S
 
 
 def flush(node):
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -141,7 +141,6 @@
     accepting: bool = False
     speed: float = 1.0
     failures: int = 0
-    blocked_until: float = 0.0
     last_heard: float = 0.0
     over_at: float | None = None
     next_seq: int = 1
--- a/azurepier/dispatch/tests/test_load.py
+++ b/azurepier/dispatch/tests/test_load.py
@@ -13,9 +13,12 @@
 from azurepier.dispatch import _order
 from azurepier.dispatch import _placement
 from azurepier.dispatch import _progress
+from azurepier.runner import _trial
 from azurepier import testing
 
 SPEEDS = (0.6, 1.0, 1.6)
+# A fleet has been running for so long when it is made (s).
+WARM_UP_S = 2.0
 
 
 def play(seconds, jobs_per_s, entry=None, speeds=SPEEDS, seed=1, fault=None):
@@ -136,6 +139,29 @@
         assert in_time(chosen) > in_time(random_) + 0.05
 
 
+def slow_down(factor, begin_s, end_s):
+    """Return a fault that slows one worker down for some time."""
+
+    def fault(fleet):
+        since_s = fleet.driver.now - WARM_UP_S
+        now = factor if begin_s < since_s < end_s else 1.0
+        worker = fleet.workers['w2']
+        if worker.factor != now:
+            worker.set_factor(now)
+
+    return fault
+
+
+def mean_in_time(jobs_per_s, fault, seeds=12):
+    """Return the mean of `in_time`; single plays differ by some percent."""
+    speeds = (1.0, 1.0, 1.6)
+    shares = [
+        in_time(play(7.0, jobs_per_s, None, speeds, seed, fault))
+        for seed in range(1, seeds + 1)
+    ]
+    return sum(shares) / len(shares)
+
+
 class TestWorkerThatTurnsSlow:
     """One of three workers becomes eight times slower for three seconds."""
 
@@ -159,3 +185,16 @@
         with_progress = mean()
         monkeypatch.setattr(_progress, 'MOVES_MAX', 0)
         assert with_progress > mean()
+
+
+class TestWorkerThatStandsStill:
+    """The tasks on one of three workers make no progress any more."""
+
+    fault = staticmethod(slow_down(1000.0, 2.0, 20.0))
+
+    def test_trials(self, monkeypatch):
+        """Guards against trials that make more jobs late with each entry."""
+        throttled = mean_in_time(4, self.fault)
+        monkeypatch.setattr(_trial, 'PAUSE_MIN_S', 0.1)
+        monkeypatch.setattr(_trial, 'PAUSE_MAX_S', 0.1)
+        assert throttled > mean_in_time(4, self.fault)
--- a/azurepier/runner/_node.py
+++ b/azurepier/runner/_node.py
@@ -10,6 +10,7 @@
 from azurepier.runner import _room
 from azurepier.runner import _runs
 from azurepier.runner import _state
+from azurepier.runner import _trial
 
 # Entries that an endpoint process is connected to at most. More serve only
 # callers whose tasks go elsewhere.
@@ -54,6 +55,7 @@
     if node.changed:
         # One report tells what an iteration of the loop has changed.
         node.changed = False
+        out += _trial.update(node, now)
         node.timers.set('changed', now)
     return out
 
@@ -347,6 +349,7 @@
     'orphans': _on_orphans,
     'forget': _on_forget,
     'stop': _runs.on_stop_timer,
+    'trial': _trial.on_timer,
     'drain_check': _on_drain_check,
     'drain_end': _on_drain_end,
 }
--- a/azurepier/runner/_progress.py
+++ b/azurepier/runner/_progress.py
@@ -24,8 +24,11 @@
 # so that it is used again soon after the fault.
 TURNED_SLOW = 0.5
 SLOW_WEIGHT = 0.1
-# Without a measurement for so long a worker is tried again (s).
+# After a pause of this length (s) the measurements before it count for at most
+# AGED_WEIGHT_S of run time, so that a tenth of a second of a trial at the
+# usual speed shows that the worker has recovered.
 RECENT_AGE_S = 1.0
+AGED_WEIGHT_S = 0.6
 # A run stands still if it should have made this much progress (percent)...
 STANDING_PERCENT = 5
 # ...and has made none for this time (s), which covers a late list.
@@ -95,7 +98,9 @@
     if work_s <= 0 and time_s <= 0:
         return
     if now - pace.at > RECENT_AGE_S:
-        pace.recent_work = pace.recent_time = 0.0
+        keep = min(AGED_WEIGHT_S / max(pace.recent_time, 0.001), 1.0)
+        pace.recent_work *= keep
+        pace.recent_time *= keep
     pace.at = now
     keep = max(1.0 - time_s / RECENT_S, 0.0)
     pace.recent_work = pace.recent_work * keep + work_s
@@ -119,14 +124,27 @@
     )
 
 
+def usual_speed(node):
+    """Return declared over actual run time, over the last minute."""
+    return _average(node.pace)
+
+
+def is_slow(node):
+    """Tell whether the last measurements are far below the usual speed."""
+    average = _average(node.pace)
+    return _recent(node.pace, average) < TURNED_SLOW * average
+
+
 def speed(node, now):
-    """Return declared over actual run time."""
-    pace = node.pace
-    average = _average(pace)
-    if now - pace.at > RECENT_AGE_S:
-        return average
-    recent = _recent(pace, average)
-    return recent if recent < TURNED_SLOW * average else average
+    """Return declared over actual run time.
+
+    A worker that has turned slow counts as slow until another measurement,
+    however long ago the last one was.
+    """
+    average = _average(node.pace)
+    if is_slow(node):
+        return _recent(node.pace, average)
+    return average
 
 
 def report(node, link, now):
--- a/azurepier/runner/_room.py
+++ b/azurepier/runner/_room.py
@@ -1,7 +1,7 @@
 """What the worker has free, and whether it fails its tasks."""
 
 from azurepier.kernel import messages
-from azurepier.runner import _progress
+from azurepier.runner import _trial
 
 
 def accepts(node, now):
@@ -55,17 +55,18 @@
     cpu, mem_mb, gpu = (
         (worker.cpu, worker.mem_mb, worker.gpu) if worker else (0, 0, 0)
     )
+    room = not _trial.refuses(node, link, now)
     return messages.PoolState(
         pool=worker.pool if worker else node.options.pool,
         labels=list(worker.labels) if worker else [],
         cpu=cpu,
         mem_mb=mem_mb,
         gpu=gpu,
-        free_cpu=cpu - node.used_cpu,
-        free_mem_mb=mem_mb - node.used_mem_mb,
-        free_gpu=gpu - node.used_gpu,
+        free_cpu=cpu - node.used_cpu if room else 0,
+        free_mem_mb=mem_mb - node.used_mem_mb if room else 0,
+        free_gpu=gpu - node.used_gpu if room else 0,
         accepting=accepts(node, now),
         seen=link.seen,
-        speed=_progress.speed(node, now),
+        speed=_trial.offered_speed(node, link, now),
         failures=len(node.failed_jobs),
     )
--- a/azurepier/runner/_runs.py
+++ b/azurepier/runner/_runs.py
@@ -14,6 +14,7 @@
 from azurepier.runner import _progress
 from azurepier.runner import _room
 from azurepier.runner import _state
+from azurepier.runner import _trial
 
 MS_PER_S = 1000
 # How long the worker may hold the answer back while nothing ends (ms).
@@ -63,7 +64,7 @@
     out = []
     for order in msg.orders:
         link.seen = max(link.seen, order.seq)
-        reason = _refusal(node, order, now)
+        reason = _refusal(node, link, order, now)
         if reason is not None:
             end = _end_message(order, Status.REFUSED, 0, reason)
             link.fresh_ends.append(end)
@@ -74,13 +75,15 @@
     return out
 
 
-def _refusal(node, order, now):
+def _refusal(node, link, order, now):
     if not _room.accepts(node, now):
         return 'not_accepting'
     if order.task in node.runs or order.task in node.strays:
         return 'already_there'
     if not _room.has_room(node, order):
         return 'no_room'
+    if _trial.refuses(node, link, now):
+        return 'on_trial'
     return None
 
 
@@ -91,6 +94,7 @@
     node.runs[order.task] = run
     link.runs[order.seq] = run
     _room.take(node, order)
+    _trial.note_start(node, link, now)
     node.count('starts')
     out = [_start_effect(node, run, now)]
     return out + want_list(node, now)
--- a/azurepier/runner/_state.py
+++ b/azurepier/runner/_state.py
@@ -49,6 +49,33 @@
     at: float = 0.0
 
 
+@attrs.define(eq=False)
+class Trial:
+    """Trials of a suspect worker.
+
+    Attributes
+    ----------
+    suspected : bool
+    link : Link or None
+        The entry that may send one task now.
+    pause_s : float
+        Time to the next trial after this one (s).
+    turn : int
+        Position of the last entry that was asked.
+    used_by : Link or None
+        The entry that sent the last trial.
+    used_at : float
+        When it arrived (s).
+    """
+
+    suspected: bool = False
+    link: object = None
+    pause_s: float = 0.0
+    turn: int = 0
+    used_by: object = None
+    used_at: float = 0.0
+
+
 class Phase(enum.Enum):
     """Where a run stands."""
 
@@ -179,6 +206,7 @@
     used_gpu: int = 0
     unhealthy_until: float = 0.0
     pace: object = attrs.field(factory=Pace)
+    trial: object = attrs.field(factory=Trial)
     failed_jobs: set = attrs.field(factory=set)
     failed_at: float = 0.0
     draining: bool = False
