Move runs only if their whole job can still be in time

Cause: with a worker eight times slower, runs were moved one by one. A job with four tasks there was late all the same if one of them found no room, and the room that the others took was missing for other jobs.

A late run is moved if all late runs of its job, and its waiting tasks, fit elsewhere in time; or if it would take three times as long where it is and the endpoints have room beyond the reserve.

--- a/azurepier/dispatch/_progress.py
+++ b/azurepier/dispatch/_progress.py
@@ -7,6 +7,8 @@
 where it is, and in time elsewhere, is started again elsewhere.
 """
 
+import math
+
 from azurepier.dispatch import _placement
 from azurepier.kernel import effects
 from azurepier.kernel import messages
@@ -56,20 +58,22 @@
 
 def _consider_move(node, endpoint, run, step, now):
     task, job = run.task, run.task.job
-    if task.starts >= MOVES_MAX:
-        return []
-    remaining_s = step.remaining_ms / MS_PER_S
     stuck = step.remaining_ms < 0
-    if not stuck and (
-        step.percent < LEAST_PERCENT or now + remaining_s <= job.objective_at
-    ):
+    remaining_s = math.inf if stuck else step.remaining_ms / MS_PER_S
+    if not stuck and step.percent < LEAST_PERCENT:
         return []
-    target = _target(node, endpoint, job, now)
+    run.expected_end = now + remaining_s
+    if task.starts >= MOVES_MAX or run.expected_end <= job.objective_at:
+        return []
+    others = _others(node, endpoint, job, now)
+    target = max(others, key=lambda each: each.speed, default=None)
     if target is None:
         return []
     elsewhere_s = MOVE_S + job.work_s / target.speed
-    in_time = now + elsewhere_s <= job.objective_at
-    if not stuck and not in_time and remaining_s < elsewhere_s * MOVE_FACTOR:
+    if not _saves_job(node, others, job, now) and not (
+        remaining_s >= elsewhere_s * MOVE_FACTOR
+        and _placement.has_spare_room(others, job)
+    ):
         return []
     run.stopping = True
     task.avoid = (*task.avoid, endpoint.name)
@@ -88,9 +92,9 @@
     ]
 
 
-def _target(node, endpoint, job, now):
-    """Return the fastest other endpoint that has room for a task."""
-    others = [
+def _others(node, endpoint, job, now):
+    """Return the other endpoints that have room for a task."""
+    return [
         each
         for each in node.by_conn.values()
         if each is not endpoint
@@ -98,4 +102,23 @@
         and _placement.is_sound(each)
         and _placement.fits(each, job.spec.needs)
     ]
-    return max(others, key=lambda each: each.speed, default=None)
+
+
+def _saves_job(node, others, job, now):
+    """Tell whether all late runs of a job can still end in time elsewhere.
+
+    A job is late if one of its tasks is. Moving some of them would take
+    room from other jobs and serve nobody.
+    """
+    left_s = job.objective_at - now - MOVE_S
+    cpu = max(job.spec.needs.cpu, 1)
+    rooms = sum(
+        each.free_cpu // cpu
+        for each in others
+        if job.work_s / each.speed <= left_s
+    )
+    late = sum(
+        run.expected_end > job.objective_at
+        for run in map(node.run_of, job.running)
+    )
+    return rooms >= late + len(job.waiting)
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -219,6 +219,11 @@
         """Whether the process was asked to stop."""
         return self.draining_since is not None
 
+    def run_of(self, place):
+        """Return the run at an endpoint's incarnation and number."""
+        incarnation, seq = place
+        return self.endpoints[incarnation].runs[seq]
+
     def count(self, name, number=1):
         """Add to a counter that the metrics show."""
         self.counters[name] += number
