Refuse jobs that arrive while an entry ends

The entry refuses such a job as not run. The test fails without the flag: the job is accepted and never answered.

Ruled out: closing the listening sockets first; callers with an open connection can send all the same.

--- a/azurepier/dispatch/_node.py
+++ b/azurepier/dispatch/_node.py
@@ -157,6 +157,8 @@
 
 def _refusal(node, job, now):
     """Return reason and Retry-After if a job is known not to be servable."""
+    if node.stopped:
+        return 'draining', RETRY_SOON_S
     if node.draining:
         left_s = node.drain_until - now
         if job.work_s > left_s * DRAIN_WORK_SHARE:
@@ -370,6 +372,7 @@
     since = now - node.draining_since
     quiet = node.callers_connected() == 0 or since > DRAIN_OPEN_S
     if not node.jobs and quiet and since > DRAIN_LEAST_S:
+        node.stopped = True
         return [effects.Stopped()]
     node.timers.set('drain_check', now + _bounds.BEAT_S)
     return []
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -200,6 +200,8 @@
     )
     routing: object = None
     draining_since: float | None = None
+    # Whether the process is about to end; nothing can be finished any more.
+    stopped: bool = False
     dirty: bool = False
     drain_until: float = 0.0
     # Since when a pool has no open endpoint (s).
--- a/azurepier/dispatch/tests/test_faults.py
+++ b/azurepier/dispatch/tests/test_faults.py
@@ -4,6 +4,7 @@
 
 from azurepier import dispatch
 from azurepier.dispatch import bounds
+from azurepier.kernel import effects
 from azurepier.kernel import events
 from azurepier import testing
 
@@ -161,6 +162,21 @@
         assert call.body == dispatch.Finished(True)
         assert fleet.ledger.overlaps == []
 
+    def test_submission_after_the_last_work_has_ended(self):
+        """Guards against jobs that begin while the process ends."""
+        fleet = testing.make_pool()
+        process = fleet.entries['e0']
+        fleet.driver.feed(process, events.Drain())
+        fleet.run_for(5.0)
+        assert process.stopped
+        job = dispatch.JobRequest('f' * 16, 's', 1, 10, dispatch.Needs(1000))
+        event = dispatch.Submit(999, testing.queue(), job)
+        found = dispatch.handle(process.node, event, fleet.driver.now)
+        answer = [each for each in found if isinstance(each, effects.Answer)]
+        assert [each.body.verdict for each in answer] == [
+            dispatch.Verdict.NOT_RUN
+        ]
+
     def test_work_too_long_for_what_is_left_is_refused_at_once(self):
         """Guards against accepting what can't be finished."""
         fleet = testing.make_pool()
