Report room to many entries after a pause

Cause: each start and end on a worker was reported to every entry at once. In the model of 66 workers, 11 entries and 370 jobs a second that is 23,500 of 40,000 messages a second, and each is a write, a wake-up and a pass.

The entry of a run hears of its end at once. With more than four entries the others hear after a pause that grows with the square of their number, at the latest with the heartbeat, which is left out after any other message.

Ruled out: a pause with few entries.

--- a/azurepier/dispatch/_progress.py
+++ b/azurepier/dispatch/_progress.py
@@ -70,9 +70,12 @@
     if target is None:
         return []
     elsewhere_s = MOVE_S + job.work_s / target.speed
-    if not _saves_job(node, others, job, now) and not (
-        remaining_s >= elsewhere_s * MOVE_FACTOR
-        and _placement.has_spare_room(others, job)
+    saves_job = _saves_job(node, others, job, now)
+    if not saves_job and remaining_s < elsewhere_s * MOVE_FACTOR:
+        return []
+    # Without spare room the task would take the room of another job.
+    if not (saves_job and stuck) and not _placement.has_spare_room(
+        others, job
     ):
         return []
     run.stopping = True
--- a/azurepier/runner/_node.py
+++ b/azurepier/runner/_node.py
@@ -7,6 +7,7 @@
 from azurepier.kernel import messages
 from azurepier.runner import _model
 from azurepier.runner import _progress
+from azurepier.runner import _reports
 from azurepier.runner import _room
 from azurepier.runner import _runs
 from azurepier.runner import _state
@@ -99,9 +100,7 @@
         ends=[end for _, end in link.ends] + link.fresh_ends,
         state=_room.report(node, link, now),
     )
-    for end in link.fresh_ends:
-        _runs.keep_end(link, end, now)
-    link.fresh_ends = []
+    _reports.keep_ends(link, now)
     out.append(effects.Send(event.conn, known))
     return out
 
@@ -240,33 +239,16 @@
     return out
 
 
-def _on_changed(node, _, now):
-    out = []
-    for link in node.by_conn.values():
-        state = _room.report(node, link, now)
-        if link.fresh_ends:
-            msg = messages.RunEnds(ends=link.fresh_ends, state=state)
-            out.append(effects.Send(link.conn, msg))
-            for end in link.fresh_ends:
-                _runs.keep_end(link, end, now)
-            link.fresh_ends = []
-        else:
-            out.append(effects.Send(link.conn, state))
-    return out
-
-
 def _on_beat_timer(node, _, now):
     node.timers.set('beat', now + bounds.BEAT_S)
     out = []
-    msg = messages.Beat(config_version=-1, entries=[], demand=0.0)
     for link in list(node.by_conn.values()):
         if link.last_heard < now - bounds.SILENCE_S:
             out.append(effects.Abort(link.conn))
             out += _link_lost(node, link, 'silent', now)
         else:
             node.addresses[link.address] = now
-            out.append(effects.Send(link.conn, msg))
-            out += _progress.report(node, link, now)
+            out += _reports.beat(node, link, now)
     return out
 
 
@@ -344,7 +326,8 @@
     'beat': _on_beat_timer,
     'dial': _on_dial_timer,
     'list': _runs.on_list_timer,
-    'changed': _on_changed,
+    'changed': _reports.on_changed,
+    'report': _reports.on_report_timer,
     'missing': _on_missing,
     'orphans': _on_orphans,
     'forget': _on_forget,
--- a/azurepier/runner/_runs.py
+++ b/azurepier/runner/_runs.py
@@ -33,8 +33,6 @@
 NUMBER_STEP = 64
 # How long the last run number of a task is remembered (tasks).
 NUMBERS_MAX = 4096
-# Ends are reported again on a new connection for so long (s).
-ENDS_KEPT_S = 3.0
 # Pause after a worker said that it is unhealthy (s).
 UNHEALTHY_S = 0.5
 # Added to the generation when the worker has seen a higher one.
@@ -495,10 +493,3 @@
         return []
     run.reason = reason
     return [_note_run(node, f'run_{status.name.lower()}', run, now)]
-
-
-def keep_end(link, end, now):
-    """Keep an end for a connection that may replace the present one."""
-    link.ends.append((now, end))
-    while link.ends and link.ends[0][0] < now - ENDS_KEPT_S:
-        link.ends.popleft()
--- a/azurepier/runner/_state.py
+++ b/azurepier/runner/_state.py
@@ -94,6 +94,10 @@
     conn : int or None
     seen : int
         Highest order received.
+    stale : bool
+        Whether the entry has not heard of the latest change.
+    told_at : float
+        When it was last told the room (s).
     ends : deque
         ``(time, RunEnd)`` of recent ends, reported again on a new connection.
     """
@@ -104,6 +108,8 @@
     last_heard: float
     conn: int | None = None
     seen: int = 0
+    stale: bool = False
+    told_at: float = 0.0
     runs: dict = attrs.field(factory=dict)
     ends: collections.deque = attrs.field(factory=collections.deque)
     fresh_ends: list = attrs.field(factory=list)
--- a/azurepier/runner/_trial.py
+++ b/azurepier/runner/_trial.py
@@ -21,7 +21,7 @@
 PAUSE_MAX_S = 2.0
 # An entry that has no task for a trial leaves it to the next one (s).
 OFFER_S = 0.25
-# More tasks that an entry sends for the same offer arrive within this time (s).
+# More tasks that an entry sends for an offer arrive within this time (s).
 USED_S = 0.02
 
 
