Split the runs of an endpoint process by what they handle

Orders, stops, lists, ends and the requests for the list are modules of their own; nothing else changes.

--- a/azurepier/runner/_node.py
+++ b/azurepier/runner/_node.py
@@ -5,12 +5,16 @@
 from azurepier.kernel import effects
 from azurepier.kernel import events
 from azurepier.kernel import messages
+from azurepier.runner import _ends
+from azurepier.runner import _lists
 from azurepier.runner import _model
+from azurepier.runner import _orders
 from azurepier.runner import _progress
 from azurepier.runner import _reports
+from azurepier.runner import _requests
 from azurepier.runner import _room
-from azurepier.runner import _runs
 from azurepier.runner import _state
+from azurepier.runner import _stops
 from azurepier.runner import _trial
 
 # Entries that an endpoint process is connected to at most. More serve only
@@ -48,7 +52,7 @@
     """Process one event; return the effects for the shell, in order."""
     out = []
     if now - node.alive_at > bounds.STALL_S:
-        paused_ms = round((now - node.alive_at) * _runs.MS_PER_S)
+        paused_ms = round((now - node.alive_at) * _ends.MS_PER_S)
         out.append(effects.Note('paused', {'ms': paused_ms}))
         out += _drop_all(node, now)
     node.alive_at = now
@@ -111,7 +115,7 @@
     for other in node.links.values():
         if other.name == link.name and other is not link:
             for run in list(other.runs.values()):
-                out += _runs.stop_run(node, run, 'entry_restarted', now)
+                out += _stops.stop_run(node, run, 'entry_restarted', now)
     return out
 
 
@@ -135,7 +139,7 @@
         'entry': link.name,
         'reason': reason,
         'runs': len(link.runs),
-        'age_ms': round((now - link.last_heard) * _runs.MS_PER_S),
+        'age_ms': round((now - link.last_heard) * _ends.MS_PER_S),
     }
     return [effects.Note('entry_lost', fields)]
 
@@ -147,7 +151,7 @@
         return []
     out = []
     for run in list(link.runs.values()):
-        out += _runs.stop_run(node, run, 'entry_lost', now)
+        out += _stops.stop_run(node, run, 'entry_lost', now)
     node.timers.set(('forget', incarnation), now + LINK_LIFETIME_S)
     return out
 
@@ -212,9 +216,9 @@
         out.append(effects.Note('worker_seen', fields))
     node.worker = seen
     if not same and node.born is not None and seen.born > node.born:
-        out += _runs.on_new_lifetime(node, seen.born, now)
+        out += _lists.on_new_lifetime(node, seen.born, now)
     node.changed = True
-    return out + _runs.want_list(node, now)
+    return out + _requests.want_list(node, now)
 
 
 def _on_worker_left(node, event, now):
@@ -297,7 +301,7 @@
 def _on_drain_end(node, _, now):
     out = []
     for run in list(node.runs.values()):
-        out += _runs.stop_run(node, run, 'draining', now)
+        out += _stops.stop_run(node, run, 'draining', now)
     return out
 
 
@@ -310,28 +314,28 @@
     events.Drain: _on_drain,
     _model.WorkerSeen: _on_worker_seen,
     _model.WorkerLeft: _on_worker_left,
-    _model.RunsListed: _runs.on_runs_listed,
-    _model.ListFailed: _runs.on_list_failed,
-    _model.StartAnswered: _runs.on_start_answered,
-    _model.StopAnswered: _runs.on_stop_answered,
+    _model.RunsListed: _lists.on_runs_listed,
+    _model.ListFailed: _lists.on_list_failed,
+    _model.StartAnswered: _orders.on_start_answered,
+    _model.StopAnswered: _stops.on_stop_answered,
 }
 
 _MESSAGES = {
-    messages.RunOrders: _runs.on_orders,
-    messages.RunStops: _runs.on_stops,
+    messages.RunOrders: _orders.on_orders,
+    messages.RunStops: _stops.on_stops,
     messages.Beat: _on_beat,
 }
 
 _TIMERS = {
     'beat': _on_beat_timer,
     'dial': _on_dial_timer,
-    'list': _runs.on_list_timer,
+    'list': _requests.on_list_timer,
     'changed': _reports.on_changed,
     'report': _reports.on_report_timer,
     'missing': _on_missing,
     'orphans': _on_orphans,
     'forget': _on_forget,
-    'stop': _runs.on_stop_timer,
+    'stop': _stops.on_stop_timer,
     'trial': _trial.on_timer,
     'drain_check': _on_drain_check,
     'drain_end': _on_drain_end,
--- /dev/null
+++ b/azurepier/runner/_requests.py
@@ -0,0 +1,83 @@
+"""Requests for the worker's list of runs, which renew its lease."""
+
+from azurepier.dispatch import bounds
+from azurepier.kernel import effects
+from azurepier.runner import _ends
+from azurepier.runner import _model
+from azurepier.runner import _state
+
+# How long the worker may hold the answer back while nothing ends (ms).
+LIST_WAIT_MS = 150
+# Added to the generation when the worker has seen a higher one.
+GENERATION_STEP = 3600
+
+
+def lease_ms(node, now):
+    """Return the end of a lease that begins now, on the worker's clock."""
+    if node.clock_offset_ms is None:
+        return None
+    return round(
+        (now + bounds.LEASE_S) * _ends.MS_PER_S + node.clock_offset_ms
+    )
+
+
+def want_list(node, now):
+    """Ask the worker for its runs unless a request is open."""
+    if node.listing:
+        return []
+    node.listing = True
+    busy = any(run.phase is _state.Phase.RUNNING for run in node.runs.values())
+    unsettled = any(
+        run.phase is not _state.Phase.RUNNING for run in node.runs.values()
+    )
+    wait_ms = LIST_WAIT_MS if busy and not unsettled else 0
+    return [_list_effect(node, wait_ms, now)]
+
+
+def _list_effect(node, wait_ms, now):
+    """Return a request for the list, which renews the lease if it may.
+
+    A worker that does not answer may still carry the request out. It is not
+    renewed then, so that the end of the last lease is known.
+    """
+    lease = lease_ms(node, now) if node.reachable else None
+    if lease is not None:
+        node.lease_until = now + bounds.LEASE_S
+    return _model.ListRuns(lease, node.acked, wait_ms, node.generation)
+
+
+def list_now(node, now):
+    """Ask for the list although an earlier request may be held back."""
+    node.listing = True
+    return [_list_effect(node, 0, now)]
+
+
+def on_list_timer(node, _, now):
+    """Ask for the list although nothing runs."""
+    return want_list(node, now)
+
+
+def note_started(node, run, result, now):
+    """Note that a run is on the worker."""
+    run.phase = _state.Phase.RUNNING
+    run.sure_at = now
+    node.observe('start', now - run.asked_at)
+    return want_list(node, now)
+
+
+def unreachable(node, reason, now):
+    """Note that the worker does not answer."""
+    if not node.reachable:
+        return []
+    node.reachable = False
+    node.changed = True
+    return [effects.Note('worker_unreachable', {'reason': reason})]
+
+
+def raise_generation(node):
+    """Exceed a generation that the worker has seen from an earlier run.
+
+    Only the process beside the worker sends it orders, so a higher number
+    comes from a run of this process that has ended.
+    """
+    node.generation += GENERATION_STEP
