Count refused orders in the line of the job's end

They tell nothing that their number by reason doesn't.

Ruled out: dropping them without a trace; on-call needs them for late jobs.

--- a/azurepier/dispatch/_runs.py
+++ b/azurepier/dispatch/_runs.py
@@ -16,6 +16,9 @@
 # Outcomes are kept for callers that submit the same job again (s).
 RECENT_S = 15.0
 
+# Refusals that are usual when several entries want the same room. They are
+# told in the line of the job's end; a line each would be most of the log.
+_EXPECTED = frozenset({'no_room', 'on_trial'})
 _NOT_RUN = frozenset({Status.REFUSED, Status.LEAVING})
 
 
@@ -102,6 +105,7 @@
         'declared_ms': job.spec.declared_ms,
         'work_ms': round(job.work_s * 1000) if job.measured else None,
         'placed': dict(job.placed),
+        'refused': dict(job.refused),
     }
     if isinstance(body, _model.Finished):
         outcome = 'succeeded' if body.succeeded else 'failed'
@@ -154,7 +158,10 @@
     node.dirty = True
     task = run.task
     out = []
-    if status is not Status.DONE:
+    if status is Status.REFUSED and reason in _EXPECTED and task is not None:
+        task.job.refused[reason] += 1
+        node.count(f'runs_refused_{reason}')
+    elif status is not Status.DONE:
         fields = {
             'task': run.name,
             'endpoint': endpoint.name,
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -77,6 +77,8 @@
     may_have_run: bool = False
     # Starts by the endpoint's name, for the log.
     placed: collections.Counter = attrs.field(factory=collections.Counter)
+    # Refused orders by reason, for the log.
+    refused: collections.Counter = attrs.field(factory=collections.Counter)
     # Whether `work_s` comes from progress, not from what was declared.
     measured: bool = False
 
--- a/azurepier/dispatch/tests/test_load.py
+++ b/azurepier/dispatch/tests/test_load.py
@@ -145,6 +145,26 @@
         assert in_time(few) > in_time(many) - 0.05
 
 
+class TestLogVolume:
+    """Entries that ask for the same room again and again."""
+
+    def test_refused_orders_have_no_line_each(self):
+        """Guards against a log that grows with the refused orders."""
+        fleet = testing.make_pool(entries=11)
+        for number in range(60):
+            fleet.submit(0.3, count=4, entry=f'e{number % 11}')
+        fleet.run_for(5.0)
+        notes = [note for _, _, note in fleet.driver.notes]
+        refused = sum(
+            sum(note.fields['refused'].values())
+            for note in notes
+            if note.event == 'job_ended'
+        )
+        assert refused > 10
+        lines = [note for note in notes if note.event == 'run_not_done']
+        assert len(lines) < refused / 2
+
+
 class TestUnequalEndpoints:
     """Endpoints of 0.6 to 1.6 times the usual speed, at moderate load."""
 
