Name the etcd client after what it speaks

Cause: azurepier.platform was the client of the key-value store behind azurepierd, platform/ the adapter of the users' platform, and platform a module of the standard library. The first is azurepier.etcd now. Settings, metrics and behaviour are as before.

--- a/azurepier/cli/_config.py
+++ b/azurepier/cli/_config.py
@@ -13,8 +13,8 @@
 from azurepier.cli import _run
 from azurepier.cli import _web
 from azurepier import config as lists
+from azurepier import etcd
 from azurepier import kernel
-from azurepier import platform
 
 _PLAN_COLUMNS = tuple(field.name for field in attrs.fields(lists.Plan))
 _POLL_S = 0.25
@@ -50,7 +50,7 @@
     if not url:
         raise kernel.PlatformError('no platform is named')
     # Edit ids have to differ between operators.
-    client = platform.Client(url, random.SystemRandom(), _web.LIMIT_S)
+    client = etcd.Client(url, random.SystemRandom(), _web.LIMIT_S)
     try:
         yield client
     finally:
@@ -79,7 +79,7 @@
     """Show what applying the lists in DIRECTORY would change."""
     customers, plans = _load(directory)
     async with _client(platform_url) as client:
-        current, _ = await platform.read_current(client)
+        current, _ = await etcd.read_current(client)
     new = lists.Configuration(1, '', '', customers, plans)
     lines = lists.differences(current, new)
     version = current.version if current else 0
@@ -135,7 +135,7 @@
         raise click.UsageError('--json needs --yes')
     found = _load(directory)
     async with _client(platform_url) as client:
-        applied = await platform.apply(
+        applied = await etcd.apply(
             client,
             found,
             author,
@@ -189,7 +189,7 @@
 async def show(platform_url):
     """Show the configuration in the platform; token hashes are hidden."""
     async with _client(platform_url) as client:
-        current, _ = await platform.read_current(client)
+        current, _ = await etcd.read_current(client)
     if current is None:
         return _run.Output(None, 'no configuration was applied yet')
     return _run.Output(_shown(current), _as_text(current))
--- a/azurepier/daemon/_platform.py
+++ b/azurepier/daemon/_platform.py
@@ -10,9 +10,9 @@
 import attrs
 
 from azurepier.daemon import _logs
+from azurepier import etcd
 from azurepier import kernel
 from azurepier.kernel import events
-from azurepier import platform
 
 # An entry's record disappears this long after its last renewal.
 RECORD_TTL_S = 15
@@ -32,14 +32,14 @@
 
     Parameters
     ----------
-    client : azurepier.platform.Client
+    client : azurepier.etcd.Client
     feed : callable
         Takes `MembersSeen` and `ConfigSeen`.
     rng : random.Random
         For jitter.
     """
 
-    client: platform.Client
+    client: etcd.Client
     feed: object
     rng: random.Random
     body: bytes | None = None
@@ -104,9 +104,9 @@
 
 async def _watch(reader):
     async for change in reader.client.watch():
-        if change.key == platform.CONFIG_KEY:
+        if change.key == etcd.CONFIG_KEY:
             see_config(reader, change.value)
-        elif not change.key or change.key.startswith(platform.ENTRIES_PREFIX):
+        elif not change.key or change.key.startswith(etcd.ENTRIES_PREFIX):
             reader.changed.set()
 
 
--- a/azurepier/daemon/_process.py
+++ b/azurepier/daemon/_process.py
@@ -11,9 +11,9 @@
 from azurepier.daemon import _metrics
 from azurepier.daemon import _platform
 from azurepier.daemon import _shell
+from azurepier import etcd
 from azurepier import kernel
 from azurepier.kernel import SettingsError
-from azurepier import platform
 from azurepier import timeline
 from azurepier import wire
 
@@ -77,9 +77,7 @@
         _metrics.add_shell(metrics, shell)
         return shell, keys, None
     # The client's own generator: the node's must not depend on timing.
-    client = platform.Client(
-        settings.platform, random.Random(rng.getrandbits(64))
-    )
+    client = etcd.Client(settings.platform, random.Random(rng.getrandbits(64)))
     _metrics.add_shell(metrics, shell, client.budget)
     return shell, keys, _platform.Reader(client, shell.feed, client.rng)
 
--- a/azurepier/daemon/tests/test_process.py
+++ b/azurepier/daemon/tests/test_process.py
@@ -19,8 +19,8 @@
 from azurepier.daemon import _settings
 from azurepier.daemon import start_endpoint
 from azurepier.daemon import start_entry
+from azurepier import etcd
 from azurepier.kernel import SettingsError
-from azurepier import platform
 from azurepier import wire
 from azurepier.wire.tests.support import in_loop
 from azurepier.wire.tests.support import until
@@ -64,7 +64,7 @@
     state = platform_standin.Platform()
     handle = functools.partial(platform_standin.handle, state)
     state.running, url = await serve(stack, handle)
-    client = platform.Client(url, random.Random(3))
+    client = etcd.Client(url, random.Random(3))
     await client.replace_config(config.to_json(CONFIG), 0)
     await client.close()
     return state, url
@@ -144,7 +144,7 @@
             state.down = False
             await until(lambda: back.shell.status()['config_version'])
             assert (await call(web, 'GET', '/readyz'))[0] == 200
-            client = platform.Client(url, random.Random(4))
+            client = etcd.Client(url, random.Random(4))
             for _ in range(20):
                 if await client.list_entries():
                     break
--- a/azurepier/platform/_client.py
+++ b/azurepier/etcd/_client.py
@@ -3,12 +3,12 @@
 import asyncio
 
 from azurepier import config
+from azurepier.etcd import _budget
+from azurepier.etcd import _gateway
+from azurepier.etcd import _keys
+from azurepier.etcd import _messages
+from azurepier.etcd import _records
 from azurepier import kernel
-from azurepier.platform import _budget
-from azurepier.platform import _gateway
-from azurepier.platform import _keys
-from azurepier.platform import _messages
-from azurepier.platform import _records
 
 CALL_LIMIT_S = 2.0
 MAX_VALUE_BYTES = 1_000_000
--- a/azurepier/platform/_messages.py
+++ b/azurepier/etcd/_messages.py
@@ -9,9 +9,9 @@
 import attrs
 
 from azurepier import config
+from azurepier.etcd import _keys
+from azurepier.etcd import _records
 from azurepier import kernel
-from azurepier.platform import _keys
-from azurepier.platform import _records
 
 HISTORY_VERSIONS = 50
 
--- a/azurepier/platform/tests/test_platform.py
+++ b/azurepier/etcd/tests/test_etcd.py
@@ -9,8 +9,8 @@
 import pytest
 
 from azurepier import config
+from azurepier import etcd
 from azurepier import kernel
-from azurepier import platform
 from standins import platform as standin
 
 INFO = kernel.messages.EntryInfo(
@@ -35,8 +35,8 @@
         server = standin.Platform()
         running = await standin.start(server)
         url = f'http://127.0.0.1:{running.port}'
-        budget = platform.Budget(calls_per_s=1e6, burst=1e6)
-        client = platform.Client(url, random.Random(1), 5.0, budget)
+        budget = etcd.Budget(calls_per_s=1e6, burst=1e6)
+        client = etcd.Client(url, random.Random(1), 5.0, budget)
         try:
             return await scenario(server, client)
         finally:
@@ -57,13 +57,13 @@
         # Guards against a no-op that makes a version, and a lost history.
         async def scenario(server, client):
             assert await client.read_config() == (None, 0)
-            first = await platform.apply(client, lists(), 'ann')
-            again = await platform.apply(client, lists(), 'bob')
-            second = await platform.apply(client, lists(queue=7), 'bob')
+            first = await etcd.apply(client, lists(), 'ann')
+            again = await etcd.apply(client, lists(), 'bob')
+            second = await etcd.apply(client, lists(queue=7), 'bob')
             assert [first.version, second.version] == [1, 2]
             assert (again.changed, again.version) == (False, 1)
             assert second.lines == ('plan p: queue 1 -> 7',)
-            cfg, _ = await platform.read_current(client)
+            cfg, _ = await etcd.read_current(client)
             assert cfg.plans['p'].queue == 7
             newest, oldest = await client.history()
             assert (newest.author, newest.changes) == ('bob', second.lines)
@@ -75,7 +75,7 @@
         # Guards against a confirmation that comes too late.
         async def scenario(server, client):
             seen = []
-            applied = await platform.apply(
+            applied = await etcd.apply(
                 client, lists(), 'ann', approve=seen.append
             )
             assert not applied.changed
@@ -87,20 +87,20 @@
     def test_conflicting_edit_is_refused_with_its_changes(self):
         # Guards against an edit that silently undoes another operator's.
         async def scenario(server, client):
-            await platform.apply(client, lists(), 'ann')
+            await etcd.apply(client, lists(), 'ann')
             original = client.read_config
 
             async def read_before_another_edit():
                 found = await original()
                 client.read_config = original
-                await platform.apply(client, lists(queue=9), 'bob')
+                await etcd.apply(client, lists(queue=9), 'bob')
                 return found
 
             client.read_config = read_before_another_edit
             with pytest.raises(kernel.ConflictError, match='queue 1 -> 9'):
-                await platform.apply(client, lists(queue=5), 'ann')
+                await etcd.apply(client, lists(queue=5), 'ann')
             with pytest.raises(kernel.ConflictError, match='by bob: plan p'):
-                await platform.apply(client, lists(queue=5), 'ann', 1)
+                await etcd.apply(client, lists(queue=5), 'ann', 1)
 
         run(scenario)
 
@@ -108,10 +108,10 @@
         # Guards against a platform that fills up.
         async def scenario(server, client):
             for n in range(60):
-                await platform.apply(client, lists(queue=n), 'ann')
+                await etcd.apply(client, lists(queue=n), 'ann')
             versions = [entry.version for entry in await client.history()]
             assert versions == list(range(60, 10, -1))
-            prefix = platform.HISTORY_PREFIX.encode()
+            prefix = etcd.HISTORY_PREFIX.encode()
             kept = [k for k in server.store.items if k.startswith(prefix)]
             assert len(kept) == 50
 
@@ -120,7 +120,7 @@
     def test_version_above_the_one_in_force(self):
         # Guards against versions that nobody adopts after a loss of data.
         async def scenario(server, client):
-            applied = await platform.apply(client, lists(), 'a', above=41)
+            applied = await etcd.apply(client, lists(), 'a', above=41)
             assert applied.version == 42
 
         run(scenario)
@@ -128,10 +128,10 @@
     def test_invalid_value_in_the_platform(self):
         # Guards against a traceback, and against overwriting evidence.
         async def scenario(server, client):
-            await platform.apply(client, lists(), 'ann')
-            server.store.items[platform.CONFIG_KEY.encode()].value = b'{'
+            await etcd.apply(client, lists(), 'ann')
+            server.store.items[etcd.CONFIG_KEY.encode()].value = b'{'
             with pytest.raises(kernel.PlatformError, match='invalid'):
-                await platform.apply(client, lists(queue=2), 'ann')
+                await etcd.apply(client, lists(queue=2), 'ann')
 
         run(scenario)
 
@@ -142,7 +142,7 @@
         # Guards against a second version, or a conflict with oneself.
         async def scenario(server, client):
             server.lose_answers = lost
-            applied = await platform.apply(client, lists(), 'ann')
+            applied = await etcd.apply(client, lists(), 'ann')
             assert (applied.changed, applied.version) == (True, 1)
             assert len(await client.history()) == 1
             assert server.calls['/v3/kv/txn'] == 1
@@ -164,7 +164,7 @@
 
             with pytest.MonkeyPatch.context() as patch:
                 patch.setitem(standin._CALLS, '/v3/kv/txn', lose_request)
-                applied = await platform.apply(client, lists(), 'ann')
+                applied = await etcd.apply(client, lists(), 'ann')
             assert applied.version == 1
             assert server.calls['/v3/kv/txn'] == 2
 
@@ -177,7 +177,7 @@
 
             async def read_after_another_edit():
                 client.read_config = original
-                await platform.apply(client, lists(queue=9), 'bob')
+                await etcd.apply(client, lists(queue=9), 'bob')
                 return await original()
 
             cfg = config.Configuration(1, 'mine', 'ann', *lists())
@@ -200,17 +200,17 @@
     def test_unchanged_value_is_not_sent_again(self):
         # Guards against entries that use up the limit of 26 kB/s by reading.
         async def scenario(server, client):
-            await platform.apply(client, lists(), 'ann')
+            await etcd.apply(client, lists(), 'ann')
             first, sent = await self.sizes(server, client)
             assert sent == 1
             assert await self.sizes(server, client) == (first, 0)
-            await platform.apply(client, lists(queue=8), 'bob')
+            await etcd.apply(client, lists(queue=8), 'bob')
             second, sent = await self.sizes(server, client)
             assert (second != first, sent) == (True, 1)
             async with contextlib.aclosing(client.watch()) as changes:
                 await anext(changes)
                 cfg = config.Configuration(3, 'e3', 'c', *lists())
-                other = platform.Client(client._gateway.url, client.rng)
+                other = etcd.Client(client._gateway.url, client.rng)
                 _, revision = await other.read_config()
                 await other.replace_config(config.to_json(cfg), revision)
                 await other.close()
@@ -225,20 +225,20 @@
         # Guards against an entry that never sees the restored value.
         async def scenario(server, client):
             for n in range(3):
-                await platform.apply(client, lists(queue=n), 'ann')
+                await etcd.apply(client, lists(queue=n), 'ann')
             await client.read_config()
             old = server.store
             server.store = standin._store.Store(cluster=cluster or old.cluster)
             assert await client.read_config() == (None, 0)
             await client.register(INFO, 5)
-            await platform.apply(client, lists(), 'bob')
+            await etcd.apply(client, lists(), 'bob')
             body, _ = await client.read_config()
             assert config.from_json(body).author == 'bob'
             server.store = old
             await client.read_config()
             server.store = standin._store.Store(cluster=cluster or old.cluster)
-            other = platform.Client(client._gateway.url, client.rng)
-            await platform.apply(other, lists(), 'cyd')
+            other = etcd.Client(client._gateway.url, client.rng)
+            await etcd.apply(other, lists(), 'cyd')
             await other.close()
             server.store.revision = max(server.store.revision, revision)
             body, _ = await client.read_config()
@@ -291,9 +291,9 @@
                 await client.register(INFO, 5)
                 change = await anext(changes)
                 assert change.key == '/azurepier/entries/e1'
-                await platform.apply(client, lists(), 'ann')
+                await etcd.apply(client, lists(), 'ann')
                 change = await anext(changes)
-                assert change.key == platform.CONFIG_KEY
+                assert change.key == etcd.CONFIG_KEY
                 assert config.from_json(change.value).author == 'ann'
                 assert 'config-history' in (await anext(changes)).key
                 await expire(server)
@@ -331,7 +331,7 @@
                 client.list_entries(),
                 client.register(INFO, 5),
                 client.keep_alive(),
-                platform.apply(client, lists(), 'ann'),
+                etcd.apply(client, lists(), 'ann'),
                 anext(client.watch()),
             ]
             found = await asyncio.gather(*calls, return_exceptions=True)
@@ -382,14 +382,14 @@
     def test_bad_url(self, url):
         # Guards against a setting that fails only at the first call.
         with pytest.raises(kernel.InvalidInputError):
-            platform.Client(url, random.Random(1))
+            etcd.Client(url, random.Random(1))
 
 
 class TestBudget:
     def test_calls_beyond_the_burst_are_spaced(self):
         # Guards against a process that uses up the platform's limits.
         now = [0.0]
-        budget = platform.Budget(clock=lambda: now[0])
+        budget = etcd.Budget(clock=lambda: now[0])
         waits = [budget.reserve(2.0) for _ in range(40)]
         assert waits[:20] == [0.0] * 20
         assert waits[20:30] == pytest.approx([n / 5 for n in range(1, 11)])
--- a/benchmarks/_capacity_processes.py
+++ b/benchmarks/_capacity_processes.py
@@ -21,7 +21,7 @@
 from azurepier import config
 from azurepier.daemon import _shell
 from azurepier import endpoint
-from azurepier import platform
+from azurepier import etcd
 from azurepier import timeline
 from benchmarks import _capacity_rig as rig_of
 from benchmarks import _processes
@@ -50,7 +50,7 @@
     'azurepier.endpoint',
     'blacksheep',
     'uvicorn',
-    'azurepier.platform',
+    'azurepier.etcd',
     'prometheus_client',
     'pythonjsonlogger.json',
     'click',
@@ -123,7 +123,7 @@
 
 
 async def _write_configuration(url):
-    client = platform.Client(url, random.Random(1))
+    client = etcd.Client(url, random.Random(1))
     try:
         body = config.to_json(rig_of.configuration())
         await client.replace_config(body, 0)
--- a/benchmarks/_processes.py
+++ b/benchmarks/_processes.py
@@ -14,7 +14,7 @@
 import attrs
 
 from azurepier import config
-from azurepier import platform
+from azurepier import etcd
 
 START_LIMIT_S = 20.0
 STOP_LIMIT_S = 10.0
@@ -108,7 +108,7 @@
         customers={CUSTOMER: config.Customer(CUSTOMER, 'bench')},
         plans={'bench': plan},
     )
-    client = platform.Client(platform_url, random.Random(1))
+    client = etcd.Client(platform_url, random.Random(1))
     try:
         await client.replace_config(config.to_json(cfg), 0)
     finally:
