Draw load patterns with and without each decision

Cause: the decisions about waiting, refusals and placement were compared in tests only, which say more or less but not where and when. `make overload` plays seven patterns on virtual time with and without the decision that answers them and draws outcomes and response times over the time of submission. The tests and the page use the same patterns, which moved from the tests to azurepier.testing.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 SEED ?= 1
 
-.PHONY: install fmt lint gen gen-check test ci demo up down bench clean
+.PHONY: install fmt lint gen gen-check test ci demo up down bench overload clean
 
 install: $(VENV)/.installed
 
@@ -43,6 +43,10 @@
 bench: install
 	$(BIN)/python -m benchmarks.run --seed $(SEED)
 
+# Writes build/overload.html: load patterns with and without each decision.
+overload: install
+	PYTHONHASHSEED=0 $(BIN)/python -m benchmarks.bench_overload
+
 ci: lint gen-check test
 
 clean:
--- a/azurepier/dispatch/tests/test_load.py
+++ b/azurepier/dispatch/tests/test_load.py
@@ -4,8 +4,6 @@
 callers are served better with it.
 """
 
-import random
-
 import pytest
 
 from azurepier import dispatch
@@ -17,57 +15,13 @@
 from azurepier.runner import _reports
 from azurepier.runner import _trial
 from azurepier import testing
+from azurepier.testing import in_time
+from azurepier.testing import late
+from azurepier.testing import play
+from azurepier.testing import refused
+from azurepier.testing import slow_down
 
 SPEEDS = (0.6, 1.0, 1.6)
-# A fleet has been running for so long when it is made (s).
-WARM_UP_S = 2.0
-
-
-def play(
-    seconds,
-    jobs_per_s,
-    entry=None,
-    speeds=SPEEDS,
-    seed=1,
-    fault=None,
-    entries=3,
-):
-    """Submit jobs at a rate; return the fleet after all are answered."""
-    fleet = testing.make_pool(seed=seed, speeds=speeds, entries=entries)
-    fleet.driver.notes = None
-    rng = random.Random(seed)
-    end = fleet.driver.now + seconds
-    while fleet.driver.now < end:
-        work_s = rng.choice((0.1, 0.1, 0.35, 0.35, 0.35, 1.5))
-        declared_ms = round(work_s * 1000 * rng.uniform(0.6, 1.4))
-        fleet.submit(
-            work_s,
-            count=rng.randint(1, 6),
-            entry=entry and entry(rng),
-            declared_ms=declared_ms,
-        )
-        fleet.run_for(rng.expovariate(jobs_per_s))
-        if fault is not None:
-            fault(fleet)
-    fleet.run_for(20.0)
-    return fleet
-
-
-def in_time(fleet):
-    """Return the share of the jobs that were answered by their objective."""
-    good = 0
-    for call in fleet.calls:
-        work_s, _, _ = fleet.works[call.job.spec]
-        due_s = 1.6 * work_s + 0.06
-        if call.body == dispatch.Finished(True):
-            good += call.answered_at - call.sent_at <= due_s
-    return good / len(fleet.calls)
-
-
-def late(fleet):
-    """Return the number of jobs that were done too late."""
-    done = sum(call.body == dispatch.Finished(True) for call in fleet.calls)
-    return done - round(in_time(fleet) * len(fleet.calls))
 
 
 class TestBurst:
@@ -114,12 +68,6 @@
         def entry(rng):
             return 'e0' if rng.random() < 0.9 else 'e1'
 
-        def refused(fleet):
-            return sum(
-                isinstance(call.body, dispatch.Rejected)
-                for call in fleet.calls
-            )
-
         by_demand = play(6.0, 20, entry)
         monkeypatch.setattr(_demand, 'share', lambda node: 1 / 3)
         equal = play(6.0, 20, entry)
@@ -187,19 +135,6 @@
         assert in_time(chosen) > in_time(random_) + 0.05
 
 
-def slow_down(factor, begin_s, end_s):
-    """Return a fault that slows one worker down for some time."""
-
-    def fault(fleet):
-        since_s = fleet.driver.now - WARM_UP_S
-        now = factor if begin_s < since_s < end_s else 1.0
-        worker = fleet.workers['w2']
-        if worker.factor != now:
-            worker.set_factor(now)
-
-    return fault
-
-
 def mean_in_time(jobs_per_s, fault, seeds=12):
     """Return the mean of `in_time`; single plays differ by some percent."""
     speeds = (1.0, 1.0, 1.6)
--- a/azurepier/testing/__init__.py
+++ b/azurepier/testing/__init__.py
@@ -8,6 +8,12 @@
 from azurepier.testing._fleet import Fleet
 from azurepier.testing._fleet import make_fleet
 from azurepier.testing._fleet import spec
+from azurepier.testing._load import in_time
+from azurepier.testing._load import late
+from azurepier.testing._load import lateness
+from azurepier.testing._load import play
+from azurepier.testing._load import refused
+from azurepier.testing._load import slow_down
 from azurepier.testing._pool import make_pool
 from azurepier.testing._pool import PoolFleet
 from azurepier.testing._pool import queue
@@ -24,8 +30,14 @@
     'check_job',
     'check_no_double_start',
     'configuration',
+    'in_time',
+    'late',
+    'lateness',
     'make_fleet',
     'make_pool',
+    'play',
     'queue',
+    'refused',
+    'slow_down',
     'spec',
 ]
