--- a/azurepier/dispatch/tests/test_faults.py
+++ b/azurepier/dispatch/tests/test_faults.py
@@ -251,6 +251,16 @@
         assert call.body == dispatch.Finished(True)
         assert fleet.ledger.overlaps == []
 
+    def test_killed_and_never_started_again(self):
+        """Guards against runs that nobody stops beside their next start."""
+        fleet = testing.make_pool()
+        call = fleet.submit(3.0, count=6, entry='e0')
+        fleet.run_for(0.3)
+        fleet.driver.kill(fleet.endpoints[busiest(fleet)])
+        fleet.run_for(9.0)
+        assert call.body == dispatch.Finished(True)
+        assert fleet.ledger.overlaps == []
+
     def test_frozen(self):
         """Guards against orders that a woken process still hands on."""
         fleet = testing.make_pool()
