Link each endpoint process with six entries, and entries with a few others

Cause: an endpoint process joined at most 16 entries, all of them the same 16, so that 19 of 35 entries had no endpoints and refused all they got; each pair of entries held two connections; and each heartbeat carried all addresses. Messages grew with workers times entries (713 a second and process under load at 35 x 160, counted before this change).

Change: `azurepier.membership.Roster` chooses by rendezvous hashing, half of the places in the own failure domain, without any agreement. An entry that is down is replaced within a second and gets its place back. Entries are linked as a ring with two chords; addresses travel with the age of the news, so that one that has left can't be told for ever (before, each entry made it young again for the others). Connections without runs carry a message every 0.5 s. An endpoint process tells each of its entries what the others want of it, so that entries need not know each other's demand; reports of room come with the progress of runs, or after 0.25 s.

Weighted places by size of the entry: clients are spread without regard to it.

Measured on the model (make test, test_scale): 35 x 160 idle 49 messages/s and 6 KB/s per process, under 65 % load 127 messages/s, nothing refused at 40 and 65 %; before, about half of the jobs at 40 %.

--- a/azurepier/daemon/_shell.py
+++ b/azurepier/daemon/_shell.py
@@ -66,6 +66,8 @@
     _requests: object = attrs.field(factory=lambda: itertools.count(1))
     _dialing: dict = attrs.field(factory=dict)
     _alarm: asyncio.TimerHandle | None = None
+    # Not every event loop's handles know when they are due.
+    _alarm_at: float = 0.0
 
     def __attrs_post_init__(self):
         self.hooks = wire.Hooks(
@@ -142,13 +144,14 @@
             return
         if self._alarm is not None:
             # An alarm that is early only looks for the next deadline.
-            if self._alarm.when() <= at:
+            if self._alarm_at <= at:
                 return
             self._alarm.cancel()
         self._alarm = self.loop.call_at(at, self._on_alarm)
+        self._alarm_at = at
 
     def _on_alarm(self):
-        due = self._alarm.when()
+        due = self._alarm_at
         self._alarm = None
         if self.closing:
             return
--- a/azurepier/dispatch/_demand.py
+++ b/azurepier/dispatch/_demand.py
@@ -2,8 +2,9 @@
 
 Load pattern: clients that are spread unevenly over the entries, so that one
 entry gets several times the jobs of another. If each counted on an equal
-share, the busy one would turn jobs away while endpoints have room. Entries
-tell each other what they want with their heartbeats.
+share, the busy one would turn jobs away while endpoints have room. An entry
+tells each of its endpoints what it wants of it, and an endpoint tells what
+all others want; no entry has to know the others.
 """
 
 import math
@@ -36,11 +37,21 @@
     return node.arrived / ARRIVALS_S + waiting / BACKLOG_S
 
 
-def share(node):
-    """Return the part of the endpoints that this entry may count on."""
-    mine = cores_wanted(node)
-    total = mine + sum(peer.demand for peer in node.peers.values())
-    equal = 1.0 / (len(node.peers) + 1)
-    if total <= 0:
-        return equal
-    return max(mine / total, equal * LEAST_SHARE)
+def cores_of_each(node):
+    """Return the cores that are wanted of each open endpoint."""
+    open_ = sum(endpoint.accepting for endpoint in node.by_conn.values())
+    return cores_wanted(node) / max(open_, 1)
+
+
+def share(endpoint, mine):
+    """Return the part of an endpoint that this entry may count on.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+    mine : float
+        Cores that this entry wants of it.
+    """
+    least = LEAST_SHARE / max(endpoint.entries, 1)
+    total = mine + endpoint.wanted
+    return max(mine / total, least) if total > 0 else 2 * least
--- a/azurepier/dispatch/_links.py
+++ b/azurepier/dispatch/_links.py
@@ -1,19 +1,14 @@
-"""Connections of an entry to endpoint processes and other entries."""
-
-import attrs
+"""Connections of an entry to endpoint processes."""
 
 from azurepier.dispatch import _bounds
 from azurepier.dispatch import _demand
+from azurepier.dispatch import _peers
 from azurepier.dispatch import _runs
 from azurepier.dispatch import _state
 from azurepier.kernel import effects
 from azurepier.kernel import messages
 from azurepier.kernel import Status
 
-# Addresses learned from others are forgotten after this time without news of
-# them (s). It outlasts a restart, and a pause of the platform's store.
-ADDRESS_LIFETIME_S = 30.0
-
 
 def endpoint_up(node, conn, hello, now):
     """Take an endpoint process's new connection into use."""
@@ -37,8 +32,7 @@
             {'endpoint': hello.name, 'runs': len(endpoint.runs)},
         )
     )
-    out.append(effects.Send(conn, beat(node)))
-    return out
+    return out + _peers.tell(node, endpoint, now)
 
 
 def endpoint_lost(node, endpoint, reason, now):
@@ -111,7 +105,7 @@
 def on_state(node, endpoint, msg, now):
     """Take over what an endpoint reports of itself."""
     take_state(endpoint, msg)
-    node.dirty = True
+    node.dirty = node.dirty or any(job.waiting for job in node.jobs.values())
     return []
 
 
@@ -145,74 +139,14 @@
     endpoint.accepting = state.accepting
     endpoint.speed = max(state.speed, 0.01)
     endpoint.failures = state.failures
+    endpoint.wanted = state.wanted
+    endpoint.entries = state.entries
     for run in endpoint.runs.values():
         if run.seq > state.seen:
             _runs.reserve(endpoint, run.needs)
 
 
-# Other entries -----------------------------------------------------------
-
-
-def peer_up(node, conn, hello, now):
-    """Take a connection to another entry into use."""
-    peer = _state.Peer(
-        hello.name, hello.address, conn, now, hello.config_version
-    )
-    node.peers[conn] = peer
-    learn(node, hello.address, now)
-    out = [
-        effects.Note(
-            'entry_up', {'entry': hello.name, 'address': hello.address}
-        ),
-        effects.Send(conn, beat(node)),
-    ]
-    return out + offer_config(node, peer)
-
-
-def offer_config(node, peer):
-    """Send the configuration in force to an entry that has an older one."""
-    version = _state.config_version(node)
-    if peer.config_version >= version:
-        return []
-    peer.config_version = version
-    update = messages.ConfigUpdate(
-        version=version, base=0, body=node.routing.body
-    )
-    return [effects.Send(peer.conn, update)]
-
-
-def learn(node, address, now):
-    """Remember the address of an entry."""
-    if address and address != node.options.address:
-        node.addresses[address] = now
-
-
-def known_addresses(node):
-    """Return the addresses of the entries, this one included."""
-    return sorted({node.options.address, *node.addresses})
-
-
-def beat(node):
-    """Return the message that keeps a connection alive."""
-    return messages.Beat(
-        config_version=_state.config_version(node),
-        entries=known_addresses(node),
-        demand=_demand.cores_wanted(node),
-    )
-
-
-def on_peer_beat(node, peer, msg, now):
-    """Learn addresses, and whether the peer lacks a configuration."""
-    for address in msg.entries:
-        if address not in node.addresses:
-            learn(node, address, now)
-    learn(node, peer.address, now)
-    peer.demand = msg.demand
-    peer.config_version = max(peer.config_version, msg.config_version)
-    return offer_config(node, peer)
-
-
-def on_endpoint_beat(node, endpoint, msg, now):
+def on_beat(node, endpoint, msg, now):
     """Nothing but the time of the message matters."""
     return []
 
@@ -221,47 +155,37 @@
 
 
 def on_beat_timer(node, _, now):
-    """Send heartbeats, drop silent connections and dial other entries."""
+    """Send what keeps connections alive, and drop silent ones."""
     node.timers.set('beat', now + _bounds.BEAT_S)
-    out = drop_silent(node, now)
     _demand.forget(node)
-    msg = beat(node)
-    out += [effects.Send(conn, msg) for conn in node.by_conn]
-    out += [effects.Send(conn, msg) for conn in node.peers]
-    for address, heard in list(node.addresses.items()):
-        if now - heard > ADDRESS_LIFETIME_S:
-            del node.addresses[address]
-    return out
-
-
-def on_dial_timer(node, _, now):
-    """Open connections to entries that have none yet."""
-    node.timers.set('dial', now + _bounds.DIAL_S)
-    connected = {peer.address for peer in node.peers.values()}
-    wanted = {*node.options.seeds, *node.addresses} - connected
-    wanted.discard(node.options.address)
-    return [effects.Dial(address) for address in sorted(wanted)]
+    return _peers.beat(node, now) + _beat_endpoints(node, now)
 
 
-def drop_silent(node, now):
-    """Give up connections that were silent for too long."""
-    limit = now - _bounds.SILENCE_S
+def _beat_endpoints(node, now):
+    msg = messages.Beat(
+        config_version=_state.config_version(node),
+        demand=_demand.cores_of_each(node),
+    )
     out = []
-    for conn, endpoint in list(node.by_conn.items()):
-        if endpoint.last_heard < limit:
-            out.append(effects.Abort(conn))
+    for endpoint in list(node.by_conn.values()):
+        if is_silent(endpoint, now):
+            out.append(effects.Abort(endpoint.conn))
             out += endpoint_lost(node, endpoint, 'silent', now)
-    for conn, peer in list(node.peers.items()):
-        if peer.last_heard < limit:
-            out.append(effects.Abort(conn))
-            out += peer_lost(node, peer, 'silent')
+            continue
+        out += _peers.tell_if_due(node, endpoint, now)
+        pause_s = _bounds.BEAT_S if endpoint.runs else _bounds.IDLE_BEAT_S
+        if _bounds.is_due(now - endpoint.told_at, pause_s):
+            endpoint.told_at = now
+            out.append(effects.Send(endpoint.conn, msg))
     return out
 
 
-def peer_lost(node, peer, reason):
-    """Forget the connection to another entry."""
-    del node.peers[peer.conn]
-    return [effects.Note('entry_lost', {'entry': peer.name, 'reason': reason})]
+def is_silent(endpoint, now):
+    """Tell whether a connection has to be given up."""
+    if not endpoint.runs:
+        return now - endpoint.last_heard > _bounds.IDLE_SILENCE_S
+    since = max(endpoint.last_heard, endpoint.busy_since)
+    return now - since > _bounds.SILENCE_S
 
 
 def drop_all(node, now):
@@ -274,32 +198,4 @@
     for conn, endpoint in list(node.by_conn.items()):
         out.append(effects.Abort(conn))
         out += endpoint_lost(node, endpoint, 'paused', now)
-    for conn, peer in list(node.peers.items()):
-        out.append(effects.Abort(conn))
-        out += peer_lost(node, peer, 'paused')
-    return out
-
-
-@attrs.frozen
-class RoutingSeen:
-    """A version of the operator's configuration was read."""
-
-    routing: object
-
-
-def on_routing_seen(node, event, now):
-    """Put a newer configuration in force; an older one is ignored."""
-    routing = event.routing
-    if routing.version <= _state.config_version(node):
-        return []
-    node.routing = routing
-    node.dirty = True
-    out = [
-        effects.Note(
-            'config_in_force',
-            {'version': routing.version, 'queues': len(routing.queues)},
-        )
-    ]
-    for peer in node.peers.values():
-        out += offer_config(node, peer)
-    return out
+    return out + _peers.drop_all(node)
--- a/azurepier/dispatch/_node.py
+++ b/azurepier/dispatch/_node.py
@@ -6,14 +6,16 @@
 from azurepier.dispatch import _links
 from azurepier.dispatch import _model
 from azurepier.dispatch import _pass
+from azurepier.dispatch import _peers
 from azurepier.dispatch import _progress
 from azurepier.dispatch import _state
 from azurepier import kernel
 from azurepier.kernel import effects
 from azurepier.kernel import events
 from azurepier.kernel import messages
+from azurepier import membership
 
-RoutingSeen = _links.RoutingSeen
+RoutingSeen = _peers.RoutingSeen
 
 MS_PER_S = 1000
 
@@ -26,6 +28,9 @@
         rng=rng,
         started_at=now,
         alive_at=now,
+        roster=membership.Roster(
+            options.name, options.domain, options.seeds, options.address
+        ),
     )
     node.timers.set('beat', now)
     node.timers.set('dial', now)
@@ -75,7 +80,8 @@
         'waiting_tasks': waiting,
         'running_tasks': sum(len(job.running) for job in node.jobs.values()),
         'endpoints': len(node.by_conn),
-        'entries': len(node.peers) + 1,
+        'entries': len(node.roster.known) + 1,
+        'peers': len(node.peers),
         'config_version': _state.config_version(node),
         'counters': dict(node.counters),
     }
@@ -88,7 +94,7 @@
     hello = event.hello
     if hello.role == 'endpoint':
         return _links.endpoint_up(node, event.conn, hello, now)
-    return _links.peer_up(node, event.conn, hello, now)
+    return _peers.up(node, event.conn, hello, now)
 
 
 def _on_connection_lost(node, event, now):
@@ -97,7 +103,7 @@
         return _links.endpoint_lost(node, endpoint, 'closed', now)
     peer = node.peers.get(event.conn)
     if peer is not None:
-        return _links.peer_lost(node, peer, 'closed')
+        return _peers.lost(node, peer, 'closed')
     return []
 
 
@@ -115,19 +121,6 @@
     return handler(node, sender, event.msg, now)
 
 
-def _on_members_seen(node, event, now):
-    for address in event.entries:
-        _links.learn(node, address, now)
-    return []
-
-
-def _on_config_update(node, peer, msg, now):
-    """Let the shell decode what another entry has in force."""
-    if msg.version <= _state.config_version(node):
-        return []
-    return [effects.Decode(msg.body)]
-
-
 # Timers ------------------------------------------------------------------
 
 
@@ -152,26 +145,27 @@
     events.Received: _on_received,
     events.Tick: _on_tick,
     events.Drain: _drain.on_drain,
-    events.MembersSeen: _on_members_seen,
-    _links.RoutingSeen: _links.on_routing_seen,
+    events.MembersSeen: _peers.on_members_seen,
+    _peers.RoutingSeen: _peers.on_routing_seen,
 }
 
 _ENDPOINT_MESSAGES = {
     messages.RunsKnown: _links.on_known,
     messages.RunEnds: _links.on_ends,
     messages.PoolState: _links.on_state,
-    messages.Beat: _links.on_endpoint_beat,
+    messages.Beat: _links.on_beat,
     messages.RunProgress: _progress.on_progress,
 }
 
 _PEER_MESSAGES = {
-    messages.Beat: _links.on_peer_beat,
-    messages.ConfigUpdate: _on_config_update,
+    messages.Beat: _peers.on_beat,
+    messages.EntriesKnown: _peers.on_entries_known,
+    messages.ConfigUpdate: _peers.on_config_update,
 }
 
 _TIMERS = {
     'beat': _links.on_beat_timer,
-    'dial': _links.on_dial_timer,
+    'dial': _peers.on_dial_timer,
     'over': _links.on_over,
     'pass': _pass.on_pass,
     'late': _on_late,
--- a/azurepier/dispatch/_pass.py
+++ b/azurepier/dispatch/_pass.py
@@ -31,7 +31,7 @@
         out += _dispatch_pool(node, pool, jobs, now)
     if by_pool:
         node.timers.set('late', now + _bounds.BEAT_S)
-    return out + _runs.flush(node)
+    return out + _runs.flush(node, now)
 
 
 def _dispatch_pool(node, pool, jobs, now):
@@ -117,5 +117,9 @@
     fastest = max(endpoint.speed for endpoint in open_)
     if now - node.opened_at < OPENING_S:
         return attrs.evolve(_order.UNKNOWN, fastest=fastest)
-    cores = sum(endpoint.cpu * endpoint.speed for endpoint in open_) / 1000
-    return _order.Supply(fastest, cores * _demand.share(node))
+    mine = _demand.cores_of_each(node)
+    cores = sum(
+        endpoint.cpu / 1000 * endpoint.speed * _demand.share(endpoint, mine)
+        for endpoint in open_
+    )
+    return _order.Supply(fastest, cores)
--- a/azurepier/dispatch/_progress.py
+++ b/azurepier/dispatch/_progress.py
@@ -9,6 +9,7 @@
 
 import math
 
+from azurepier.dispatch import _links
 from azurepier.dispatch import _placement
 from azurepier.kernel import effects
 from azurepier.kernel import messages
@@ -28,7 +29,7 @@
 
 def on_progress(node, endpoint, msg, now):
     """Update sizes and ends of runs; move runs that are stuck."""
-    out = []
+    out = _links.on_state(node, endpoint, msg.state, now)
     for step in msg.steps:
         run = endpoint.runs.get(step.seq)
         if run is None or run.task is None or run.stopping:
--- a/azurepier/dispatch/_runs.py
+++ b/azurepier/dispatch/_runs.py
@@ -46,6 +46,8 @@
     needs = job.spec.needs
     run = _state.Run(seq, task, task.name, needs, now, expected_end)
     task.run = run
+    if not endpoint.runs:
+        endpoint.busy_since = now
     endpoint.runs[seq] = run
     endpoint.per_job[job.spec.id] += 1
     node.running_names[task.name] += 1
@@ -66,12 +68,12 @@
     node.count('starts')
 
 
-def flush(node):
+def flush(node, now):
     """Return the messages that carry the orders of a pass."""
-    out = [
-        effects.Send(conn, messages.RunOrders(orders=orders))
-        for conn, orders in node.orders.items()
-    ]
+    out = []
+    for conn, orders in node.orders.items():
+        node.by_conn[conn].told_at = now
+        out.append(effects.Send(conn, messages.RunOrders(orders=orders)))
     node.orders.clear()
     return out
 
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -143,7 +143,16 @@
     accepting: bool = False
     speed: float = 1.0
     failures: int = 0
+    # Cores that other entries want of it, and the entries that it serves.
+    wanted: float = 0.0
+    entries: int = 1
     last_heard: float = 0.0
+    # When something was last sent, and when the first of `runs` was (s).
+    told_at: float = 0.0
+    busy_since: float = 0.0
+    # Which state of the roster it was told, and when (s).
+    roster_version: int = -1
+    roster_at: float = 0.0
     over_at: float | None = None
     next_seq: int = 1
     runs: dict = attrs.field(factory=dict)
@@ -152,14 +161,29 @@
 
 @attrs.define(eq=False)
 class Peer:
-    """Another entry."""
+    """Another entry.
+
+    Attributes
+    ----------
+    dialed : bool
+        Whether this entry opened the connection.
+    told_at : float
+        When something was last sent (s).
+    roster_version, roster_at : int, float
+        Which state of the roster it was told, and when (s).
+    """
 
     name: str
+    incarnation: str
     address: str
+    domain: str
     conn: int
     last_heard: float
+    dialed: bool = False
     config_version: int = -1
-    demand: float = 0.0
+    told_at: float = 0.0
+    roster_version: int = -1
+    roster_at: float = 0.0
 
 
 @attrs.define(eq=False, repr=False)
@@ -196,7 +220,9 @@
     endpoints: dict = attrs.field(factory=dict)
     by_conn: dict = attrs.field(factory=dict)
     peers: dict = attrs.field(factory=dict)
-    addresses: dict = attrs.field(factory=dict)
+    roster: object = None
+    # Addresses of entries that connections are being opened to.
+    dialed: set = attrs.field(factory=set)
     running_names: collections.Counter = attrs.field(
         factory=collections.Counter
     )
--- a/azurepier/dispatch/tests/test_faults.py
+++ b/azurepier/dispatch/tests/test_faults.py
@@ -157,6 +157,8 @@
             seen=0,
             speed=1.0,
             failures=0,
+            wanted=0.0,
+            entries=1,
         )
         known = messages.RunsKnown(running=[], ends=[], state=state)
         # The last job has to wait for 1.5 s on this endpoint.
--- a/azurepier/runner/_orders.py
+++ b/azurepier/runner/_orders.py
@@ -40,7 +40,7 @@
 
 
 def _refusal(node, link, order, now):
-    if not _room.accepts(node, now):
+    if not _room.accepts(node, now) or link.parting_at is not None:
         return 'not_accepting'
     if order.task in node.runs or order.task in node.strays:
         return 'already_there'
--- a/azurepier/runner/_progress.py
+++ b/azurepier/runner/_progress.py
@@ -147,16 +147,13 @@
     return average
 
 
-def report(node, link, now):
-    """Return the message that tells an entry how far its runs are."""
-    steps = [
+def steps(link, now):
+    """Return how far the runs of an entry are."""
+    return [
         _step(run, now)
         for run in link.runs.values()
         if run.progress.percent or run.progress.standing
     ]
-    if not steps:
-        return []
-    return [effects.Send(link.conn, messages.RunProgress(steps=steps))]
 
 
 def _step(run, now):
--- a/azurepier/runner/_reports.py
+++ b/azurepier/runner/_reports.py
@@ -3,9 +3,9 @@
 Load pattern: hundreds of starts a second on a fleet with many entries. If
 each start and end were reported to each entry at once, messages would grow
 with workers times entries times starts. The entry that a run belongs to
-hears of its end at once; the others hear of the room it leaves after a pause
-that grows with their number. Until then they may ask for room that is gone,
-which costs a refusal and no call to the worker.
+hears of its end at once; the others hear of the room it leaves after a
+pause. Until then they may ask for room that is gone, which costs a refusal
+and no call to the worker.
 """
 
 from azurepier.dispatch import bounds
@@ -18,15 +18,11 @@
 # of 9 and 30 ms gave 0.015 and 0.010 less worth on four standard days, which
 # is within the noise of a day but had the same sign on most of them.
 FEW_ENTRIES = 4
-# Otherwise the pause between two reports to an entry is the square of the
-# number of entries times this (s): messages grow with the entries, and so does
-# the number of them that ask for the same room when they hear of it. From
-# eleven on each hears with the heartbeats.
-PAIR_PAUSE_S = 0.001
+# Otherwise an entry without runs here hears again after this time (s), and one
+# with runs hears of the room with their progress.
+REPORT_PAUSE_S = 0.25
 # Ends are reported again on a new connection for so long (s).
 ENDS_KEPT_S = 3.0
-# A heartbeat is left out if something was sent within this time (s).
-RECENTLY_S = bounds.BEAT_S / 2
 
 
 def on_changed(node, _, now):
@@ -41,10 +37,9 @@
 
 
 def _report_ends(node, link, now):
-    state = _room.report(node, link, now)
+    state = _tell(node, link, now)
     msg = messages.RunEnds(ends=link.fresh_ends, state=state)
     keep_ends(link, now)
-    link.stale, link.told_at = False, now
     return [effects.Send(link.conn, msg)]
 
 
@@ -58,30 +53,35 @@
 
 def on_report_timer(node, _, now):
     """Tell the entries that may hear again what has changed."""
-    pause_s = _pause_s(len(node.by_conn))
+    few = len(node.by_conn) <= FEW_ENTRIES
+    pause_s = 0.0 if few else REPORT_PAUSE_S
     out = []
-    stale = [link for link in node.by_conn.values() if link.stale]
-    for link in stale:
+    waiting = []
+    for link in node.by_conn.values():
+        if not link.stale or (link.runs and not few):
+            continue
         if link.told_at + pause_s <= now:
-            link.stale, link.told_at = False, now
-            state = _room.report(node, link, now)
-            out.append(effects.Send(link.conn, state))
-    later = [link.told_at + pause_s for link in stale if link.stale]
-    if later:
-        node.timers.set('report', min(later))
+            out.append(effects.Send(link.conn, _tell(node, link, now)))
+        else:
+            waiting.append(link.told_at + pause_s)
+    if waiting:
+        node.timers.set('report', min(waiting))
     return out
 
 
-def _pause_s(entries):
-    if entries <= FEW_ENTRIES:
-        return 0.0
-    return min(PAIR_PAUSE_S * entries**2, bounds.BEAT_S)
+def _tell(node, link, now):
+    link.stale, link.told_at = False, now
+    return _room.report(node, link, now)
 
 
 def beat(node, link, now):
     """Return what keeps a connection alive and tells how far runs are."""
-    out = []
-    if now - link.told_at > RECENTLY_S:
-        msg = messages.Beat(config_version=-1, entries=[], demand=0.0)
-        out.append(effects.Send(link.conn, msg))
-    return out + _progress.report(node, link, now)
+    steps = _progress.steps(link, now)
+    if steps:
+        state = _tell(node, link, now)
+        msg = messages.RunProgress(steps=steps, state=state)
+        return [effects.Send(link.conn, msg)]
+    pause_s = bounds.BEAT_S if link.runs else bounds.IDLE_BEAT_S
+    if not bounds.is_due(now - link.told_at, pause_s):
+        return []
+    return [effects.Send(link.conn, _tell(node, link, now))]
--- a/azurepier/runner/_room.py
+++ b/azurepier/runner/_room.py
@@ -56,6 +56,9 @@
         (worker.cpu, worker.mem_mb, worker.gpu) if worker else (0, 0, 0)
     )
     room = not _trial.refuses(node, link, now)
+    wanted = sum(
+        other.demand for other in node.by_conn.values() if other is not link
+    )
     return messages.PoolState(
         pool=worker.pool if worker else node.options.pool,
         labels=list(worker.labels) if worker else [],
@@ -65,8 +68,10 @@
         free_cpu=cpu - node.used_cpu if room else 0,
         free_mem_mb=mem_mb - node.used_mem_mb if room else 0,
         free_gpu=gpu - node.used_gpu if room else 0,
-        accepting=accepts(node, now),
+        accepting=accepts(node, now) and link.parting_at is None,
         seen=link.seen,
         speed=_trial.offered_speed(node, link, now),
         failures=len(node.failed_jobs),
+        wanted=wanted,
+        entries=len(node.by_conn),
     )
--- a/azurepier/runner/_state.py
+++ b/azurepier/runner/_state.py
@@ -98,6 +98,10 @@
         Whether the entry has not heard of the latest change.
     told_at : float
         When it was last told the room (s).
+    demand : float
+        Cores that it wants of this endpoint.
+    parting_at : float or None
+        When the connection is closed because others took its place (s).
     ends : deque
         ``(time, RunEnd)`` of recent ends, reported again on a new connection.
     """
@@ -110,6 +114,8 @@
     seen: int = 0
     stale: bool = False
     told_at: float = 0.0
+    demand: float = 0.0
+    parting_at: float | None = None
     runs: dict = attrs.field(factory=dict)
     ends: collections.deque = attrs.field(factory=collections.deque)
     fresh_ends: list = attrs.field(factory=list)
@@ -193,7 +199,7 @@
     timers: Timers = attrs.field(factory=Timers)
     links: dict = attrs.field(factory=dict)
     by_conn: dict = attrs.field(factory=dict)
-    addresses: dict = attrs.field(factory=dict)
+    roster: object = None
     worker: object = None
     born: int | None = None
     clock_offset_ms: float | None = None
--- a/azurepier/testing/__init__.py
+++ b/azurepier/testing/__init__.py
@@ -17,6 +17,7 @@
 from azurepier.testing._pool import make_pool
 from azurepier.testing._pool import PoolFleet
 from azurepier.testing._pool import queue
+from azurepier.testing import _scale as scale
 from azurepier.testing._worker import Ledger
 from azurepier.testing._worker import PoolWorker
 
@@ -38,6 +39,7 @@
     'play',
     'queue',
     'refused',
+    'scale',
     'slow_down',
     'spec',
 ]
--- a/azurepier/testing/_driver.py
+++ b/azurepier/testing/_driver.py
@@ -70,6 +70,9 @@
     on_answer: typing.Callable | None = None
     on_platform_read: typing.Callable | None = None
     sent: dict = attrs.field(factory=dict)  # message class name -> count
+    # Returns the size of a message, for `sent_bytes`; costs time.
+    size_of: typing.Callable | None = None
+    sent_bytes: int = 0
     records: list | None = None
     notes: list | None = None
     cuts: set = attrs.field(factory=set)
@@ -225,6 +228,8 @@
             return
         name = type(effect.msg).__name__
         self.sent[name] = self.sent.get(name, 0) + 1
+        if self.size_of is not None:
+            self.sent_bytes += self.size_of(effect.msg)
         if link.silent:
             return
         sender = 0 if link.ends[0][0] is process else 1
--- a/azurepier/testing/_pool.py
+++ b/azurepier/testing/_pool.py
@@ -85,6 +85,7 @@
     wrong_answers: list = attrs.field(factory=list)
     reqs: int = 0
     incarnations: int = 0
+    domains: int = 1
 
     def run_for(self, seconds):
         """Let the time pass."""
@@ -92,12 +93,16 @@
 
     # Processes -----------------------------------------------------------
 
+    def domain(self, name):
+        """Return the failure domain of a process by its number."""
+        return f'd{int(name[1:]) % self.domains}'
+
     def start_entry(self, name):
         """Start an entry, or start it again after its end."""
         self.incarnations += 1
         options = dispatch.Options(
             name=name,
-            domain='d',
+            domain=self.domain(name),
             address=f'{name}:1',
             seeds=tuple(f'e{index}:1' for index in range(3)),
             bounds=Bounds(),
@@ -118,7 +123,7 @@
         self.incarnations += 1
         options = runner.Options(
             name=name,
-            domain='d',
+            domain=self.domain(name),
             pool='pool',
             seeds=tuple(f'e{index}:1' for index in range(3)),
             generation=self.incarnations,
@@ -255,10 +260,10 @@
     return [f'{call.job.id}.0.0.{i}' for i in range(call.job.count)]
 
 
-def make_pool(seed=1, entries=3, speeds=(1.0, 1.0, 1.0), cpu=8000):
+def make_pool(seed=1, entries=3, speeds=(1.0, 1.0, 1.0), cpu=8000, domains=1):
     """Return a fleet that has been running for two seconds."""
     driver = _driver.Driver(seed, lambda a, b: 0.0005)
-    fleet = PoolFleet(driver, _worker.Ledger())
+    fleet = PoolFleet(driver, _worker.Ledger(), domains=domains)
     driver.on_answer = fleet.on_answer
     driver.notes = []
     driver.table[runner.StartRun] = lambda _, process, effect: (
--- a/azurepier/wire/_codec.py
+++ b/azurepier/wire/_codec.py
@@ -50,6 +50,7 @@
     25: ttypes.RunsKnown,
     26: ttypes.Beat,
     27: ttypes.RunProgress,
+    28: ttypes.EntriesKnown,
 }
 
 # Fields that may be absent; every other field is required.
--- a/azurepier/wire/gen/messages/ttypes.py
+++ b/azurepier/wire/gen/messages/ttypes.py
@@ -2803,6 +2803,8 @@
      - seen
      - speed
      - failures
+     - wanted
+     - entries
 
     """
 
@@ -2819,10 +2821,12 @@
         'seen',
         'speed',
         'failures',
+        'wanted',
+        'entries',
     )
 
 
-    def __init__(self, pool=None, labels=None, cpu=None, mem_mb=None, gpu=None, free_cpu=None, free_mem_mb=None, free_gpu=None, accepting=None, seen=None, speed=None, failures=None,):
+    def __init__(self, pool=None, labels=None, cpu=None, mem_mb=None, gpu=None, free_cpu=None, free_mem_mb=None, free_gpu=None, accepting=None, seen=None, speed=None, failures=None, wanted=None, entries=None,):
         self.pool = pool
         self.labels = labels
         self.cpu = cpu
@@ -2835,6 +2839,8 @@
         self.seen = seen
         self.speed = speed
         self.failures = failures
+        self.wanted = wanted
+        self.entries = entries
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2910,6 +2916,16 @@
                     self.failures = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.DOUBLE:
+                    self.wanted = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I32:
+                    self.entries = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2971,6 +2987,14 @@
             oprot.writeFieldBegin('failures', TType.I32, 12)
             oprot.writeI32(self.failures)
             oprot.writeFieldEnd()
+        if self.wanted is not None:
+            oprot.writeFieldBegin('wanted', TType.DOUBLE, 13)
+            oprot.writeDouble(self.wanted)
+            oprot.writeFieldEnd()
+        if self.entries is not None:
+            oprot.writeFieldBegin('entries', TType.I32, 14)
+            oprot.writeI32(self.entries)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3613,21 +3637,18 @@
 
     Attributes:
      - config_version
-     - entries
      - demand
 
     """
 
     __slots__ = (
         'config_version',
-        'entries',
         'demand',
     )
 
 
-    def __init__(self, config_version=None, entries=None, demand=None,):
+    def __init__(self, config_version=None, demand=None,):
         self.config_version = config_version
-        self.entries = entries
         self.demand = demand
 
     def read(self, iprot):
@@ -3644,16 +3665,6 @@
                     self.config_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.LIST:
-                    self.entries = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.entries.append(_elem110)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.DOUBLE:
                     self.demand = iprot.readDouble()
@@ -3673,13 +3684,6 @@
             oprot.writeFieldBegin('config_version', TType.I64, 1)
             oprot.writeI64(self.config_version)
             oprot.writeFieldEnd()
-        if self.entries is not None:
-            oprot.writeFieldBegin('entries', TType.LIST, 2)
-            oprot.writeListBegin(TType.STRING, len(self.entries))
-            for iter111 in self.entries:
-                oprot.writeString(iter111.encode('utf-8') if sys.version_info[0] == 2 else iter111)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
         if self.demand is not None:
             oprot.writeFieldBegin('demand', TType.DOUBLE, 3)
             oprot.writeDouble(self.demand)
@@ -3709,6 +3713,177 @@
         return not (self == other)
 
 
+class KnownEntry(object):
+    """
+    Attributes:
+     - address
+     - domain
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'address',
+        'domain',
+        'age_ms',
+    )
+
+
+    def __init__(self, address=None, domain=None, age_ms=None,):
+        self.address = address
+        self.domain = domain
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('KnownEntry')
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 1)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.domain is not None:
+            oprot.writeFieldBegin('domain', TType.STRING, 2)
+            oprot.writeString(self.domain.encode('utf-8') if sys.version_info[0] == 2 else self.domain)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EntriesKnown(object):
+    """
+    The entries that the sender knows.
+
+    Attributes:
+     - entries
+
+    """
+
+    __slots__ = (
+        'entries',
+    )
+
+
+    def __init__(self, entries=None,):
+        self.entries = entries
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.entries = []
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = KnownEntry()
+                        _elem110.read(iprot)
+                        self.entries.append(_elem110)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EntriesKnown')
+        if self.entries is not None:
+            oprot.writeFieldBegin('entries', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.entries))
+            for iter111 in self.entries:
+                iter111.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class RunStep(object):
     """
     Attributes:
@@ -3815,20 +3990,23 @@
 
 class RunProgress(object):
     """
-    How far the runs are; sent while something runs.
+    How far the runs are, and the room; sent while something runs.
 
     Attributes:
      - steps
+     - state
 
     """
 
     __slots__ = (
         'steps',
+        'state',
     )
 
 
-    def __init__(self, steps=None,):
+    def __init__(self, steps=None, state=None,):
         self.steps = steps
+        self.state = state
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3850,6 +4028,12 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.state = PoolState()
+                    self.state.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3867,6 +4051,10 @@
                 iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.STRUCT, 2)
+            self.state.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4113,6 +4301,8 @@
     (10, TType.I64, 'seen', None, None, ),  # 10
     (11, TType.DOUBLE, 'speed', None, None, ),  # 11
     (12, TType.I32, 'failures', None, None, ),  # 12
+    (13, TType.DOUBLE, 'wanted', None, None, ),  # 13
+    (14, TType.I32, 'entries', None, None, ),  # 14
 )
 all_structs.append(RunOrder)
 RunOrder.thrift_spec = (
@@ -4161,9 +4351,21 @@
 Beat.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'config_version', None, None, ),  # 1
-    (2, TType.LIST, 'entries', (TType.STRING, 'UTF8', False), None, ),  # 2
+    None,  # 2
     (3, TType.DOUBLE, 'demand', None, None, ),  # 3
 )
+all_structs.append(KnownEntry)
+KnownEntry.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'address', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'domain', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+)
+all_structs.append(EntriesKnown)
+EntriesKnown.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'entries', (TType.STRUCT, [KnownEntry, None], False), None, ),  # 1
+)
 all_structs.append(RunStep)
 RunStep.thrift_spec = (
     None,  # 0
@@ -4176,6 +4378,7 @@
 RunProgress.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'steps', (TType.STRUCT, [RunStep, None], False), None, ),  # 1
+    (2, TType.STRUCT, 'state', [PoolState, None], None, ),  # 2
 )
 fix_spec(all_structs)
 del all_structs
--- a/azurepier/wire/tests/test_codec.py
+++ b/azurepier/wire/tests/test_codec.py
@@ -17,6 +17,7 @@
 BASE_VALUES = {2: True, 4: 1.5, 8: 7, 10: 2**40}
 NESTED = {
     'EntryInfo',
+    'KnownEntry',
     'Start',
     'Outcome',
     'RunEnd',
--- a/benchmarks/bench_overload.py
+++ b/benchmarks/bench_overload.py
@@ -86,7 +86,7 @@
     'nine of ten callers at one entry': Pattern(
         {'seconds': 6.0, 'jobs_per_s': 20, 'entry': _uneven},
         'shares by demand',
-        ((_demand, 'share', lambda node: 1 / 3),),
+        ((_demand, 'share', lambda *_: 1 / 3),),
     ),
     'workers of unequal speed': Pattern(
         {'seconds': 8.0, 'jobs_per_s': 9, 'speeds': (0.5, 0.5, 1.6)},
@@ -112,7 +112,7 @@
             'entries': 11,
         },
         'reports after a pause',
-        ((_reports, 'PAIR_PAUSE_S', 0.0),),
+        ((_reports, 'REPORT_PAUSE_S', 0.0),),
     ),
 }
 
--- a/thrift/azurepier.thrift
+++ b/thrift/azurepier.thrift
@@ -213,6 +213,8 @@
   10: i64 seen              // highest order received on this pair
   11: double speed          // measured run time: declared / actual
   12: i32 failures          // tasks that failed in a row, of distinct jobs
+  13: double wanted         // cores that the other entries want of it
+  14: i32 entries           // entries that it serves
 }
 
 struct RunOrder {
@@ -256,8 +258,18 @@
 /** Keeps a link alive in both directions. */
 struct Beat {
   1: i64 config_version
-  2: list<string> entries   // addresses of the entries known (entries only)
-  3: double demand          // cores that an entry's jobs want
+  3: double demand          // cores that an entry wants of the receiver
+}
+
+struct KnownEntry {
+  1: string address
+  2: string domain
+  3: i32 age_ms             // time since anybody heard from it
+}
+
+/** The entries that the sender knows. */
+struct EntriesKnown {
+  1: list<KnownEntry> entries
 }
 
 struct RunStep {
@@ -267,7 +279,8 @@
   4: i32 remaining_ms       // at the present rate; -1: it stands still
 }
 
-/** How far the runs are; sent while something runs. */
+/** How far the runs are, and the room; sent while something runs. */
 struct RunProgress {
   1: list<RunStep> steps
+  2: PoolState state
 }
