--- a/azurepier/dispatch/_bounds.py
+++ b/azurepier/dispatch/_bounds.py
@@ -28,12 +28,14 @@
 RUNS_OVER_S = SILENCE_S + LEASE_S + LEASE_MARGIN_S
 # Interval of attempts to connect to an entry (s).
 DIAL_S = 0.25
+# The timer of a process without runs; it notices a pause of the process.
+IDLE_TICK_S = 0.25
 
 
 def is_due(since_s, interval_s):
     """Tell whether a message is due that is sent at an interval.
 
-    The timers of connections run with `BEAT_S`; one that would be due before
-    the timer's next turn is due now.
+    The timers of connections run with `BEAT_S` or `IDLE_TICK_S`; a message
+    that would be due before the timer's next turn is due now.
     """
     return since_s > interval_s - BEAT_S / 2
--- a/azurepier/dispatch/_demand.py
+++ b/azurepier/dispatch/_demand.py
@@ -9,7 +9,6 @@
 
 import math
 
-from azurepier.dispatch import _bounds
 from azurepier.dispatch import _order
 
 # Time over which arriving work is averaged (s).
@@ -18,7 +17,6 @@
 BACKLOG_S = 0.3
 # An entry counts on at least this part of an equal share.
 LEAST_SHARE = 0.5
-_KEEP = math.exp(-_bounds.BEAT_S / ARRIVALS_S)
 
 
 def note_arrival(node, job):
@@ -26,9 +24,10 @@
     node.arrived += _order.work(job)
 
 
-def forget(node):
-    """Let arrivals fade; called with each heartbeat."""
-    node.arrived *= _KEEP
+def forget(node, now):
+    """Let arrivals fade."""
+    node.arrived *= math.exp((node.arrived_at - now) / ARRIVALS_S)
+    node.arrived_at = now
 
 
 def cores_wanted(node):
--- a/azurepier/dispatch/_links.py
+++ b/azurepier/dispatch/_links.py
@@ -156,8 +156,10 @@
 
 def on_beat_timer(node, _, now):
     """Send what keeps connections alive, and drop silent ones."""
-    node.timers.set('beat', now + _bounds.BEAT_S)
-    _demand.forget(node)
+    busy = any(endpoint.runs for endpoint in node.by_conn.values())
+    pause_s = _bounds.BEAT_S if busy else _bounds.IDLE_TICK_S
+    node.timers.set('beat', now + pause_s)
+    _demand.forget(node, now)
     return _peers.beat(node, now) + _beat_endpoints(node, now)
 
 
--- a/azurepier/dispatch/_runs.py
+++ b/azurepier/dispatch/_runs.py
@@ -1,5 +1,6 @@
 """Starts, stops and ends of runs, and what they mean for their jobs."""
 
+from azurepier.dispatch import _bounds
 from azurepier.dispatch import _model
 from azurepier.dispatch import _state
 from azurepier.kernel import effects
@@ -54,17 +55,23 @@
     job.running.add((endpoint.incarnation, seq))
     job.placed[endpoint.name] += 1
     reserve(endpoint, needs)
+    batch = node.orders.get(endpoint.conn)
+    if batch is None:
+        batch = messages.RunOrders(orders=[], specs=[])
+        node.orders[endpoint.conn] = batch
+    if not batch.specs or batch.specs[-1] != job.spec.spec:
+        batch.specs.append(job.spec.spec)
     order = messages.RunOrder(
         seq=seq,
         task=task.name,
         attempt=task.starts,
-        spec=job.spec.spec,
+        spec=len(batch.specs) - 1,
         cpu=needs.cpu,
         mem_mb=needs.mem_mb,
         gpu=needs.gpu,
         expected_ms=job.spec.declared_ms,
     )
-    node.orders.setdefault(endpoint.conn, []).append(order)
+    batch.orders.append(order)
     node.count('starts')
 
 
@@ -73,7 +80,9 @@
     out = []
     for conn, orders in node.orders.items():
         node.by_conn[conn].told_at = now
-        out.append(effects.Send(conn, messages.RunOrders(orders=orders)))
+        out.append(effects.Send(conn, orders))
+    if out:
+        node.timers.set_sooner('beat', now + _bounds.BEAT_S)
     node.orders.clear()
     return out
 
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -234,8 +234,9 @@
     drain_until: float = 0.0
     # Since when a pool has no open endpoint (s).
     stranded_since: dict = attrs.field(factory=dict)
-    # Recently arrived work, decaying (core-seconds).
+    # Recently arrived work, decaying (core-seconds), and as of when (s).
     arrived: float = 0.0
+    arrived_at: float = 0.0
     # When the first endpoint could be used again after none could (s).
     opened_at: float = 0.0
     # Returns the number of open connections of callers.
--- a/azurepier/kernel/_timers.py
+++ b/azurepier/kernel/_timers.py
@@ -1,6 +1,7 @@
 """Timers of a node, kept as state so that the shell needs only one alarm."""
 
 import heapq
+import math
 
 import attrs
 
@@ -22,6 +23,11 @@
         self._counter += 1
         heapq.heappush(self._heap, (at, self._counter, key))
 
+    def set_sooner(self, key, at):
+        """Let the timer `key` expire at the time `at` (s) at the latest."""
+        if self._deadlines.get(key, math.inf) > at:
+            self.set(key, at)
+
     def cancel(self, key):
         """Remove the timer `key` if it is set."""
         self._deadlines.pop(key, None)
--- a/azurepier/runner/_links.py
+++ b/azurepier/runner/_links.py
@@ -148,7 +148,8 @@
 
 def on_beat_timer(node, _, now):
     """Send what keeps connections alive, and drop silent ones."""
-    node.timers.set('beat', now + bounds.BEAT_S)
+    pause_s = bounds.BEAT_S if node.runs else bounds.IDLE_TICK_S
+    node.timers.set('beat', now + pause_s)
     out = []
     for link in list(node.by_conn.values()):
         limit_s = bounds.SILENCE_S if link.runs else bounds.IDLE_SILENCE_S
--- a/azurepier/runner/_orders.py
+++ b/azurepier/runner/_orders.py
@@ -6,6 +6,7 @@
 """
 
 from azurepier.dispatch import bounds
+from azurepier.kernel import effects
 from azurepier.kernel import Status
 from azurepier.runner import _ends
 from azurepier.runner import _model
@@ -25,6 +26,8 @@
 
 def on_orders(node, link, msg, now):
     """Start what an entry asks for, or refuse it."""
+    if not all(0 <= order.spec < len(msg.specs) for order in msg.orders):
+        return [effects.Close(link.conn)]
     out = []
     for order in msg.orders:
         link.seen = max(link.seen, order.seq)
@@ -34,7 +37,7 @@
             link.fresh_ends.append(end)
             node.count(f'refused_{reason}')
             continue
-        out += _start(node, link, order, now)
+        out += _start(node, link, order, msg.specs[order.spec], now)
     node.changed = True
     return out
 
@@ -51,13 +54,14 @@
     return None
 
 
-def _start(node, link, order, now):
+def _start(node, link, order, spec, now):
     number = max(order.attempt, node.numbers.get(order.task, 0) + 1)
     _remember_number(node, order.task, number)
-    run = _state.Run(order, link, number, now)
+    run = _state.Run(order, spec, link, number, now)
     node.runs[order.task] = run
     link.runs[order.seq] = run
     _room.take(node, order)
+    node.timers.set_sooner('beat', now + bounds.BEAT_S)
     _trial.note_start(node, link, now)
     node.count('starts')
     out = [_start_effect(node, run, now)]
@@ -77,7 +81,7 @@
     return _model.StartRun(
         task=run.order.task,
         number=run.number,
-        spec=run.order.spec,
+        spec=run.spec,
         lease_ms=_requests.lease_ms(node, now),
         generation=node.generation,
         worker=node.worker.id if node.worker else '',
--- a/azurepier/runner/_state.py
+++ b/azurepier/runner/_state.py
@@ -153,6 +153,8 @@
     Parameters
     ----------
     order : RunOrder
+    spec : str
+        What the worker is told to run.
     link : Link
         The entry that asked for it.
     number : int
@@ -164,6 +166,7 @@
     """
 
     order: object
+    spec: str
     link: object
     number: int
     asked_at: float
--- a/azurepier/wire/gen/messages/ttypes.py
+++ b/azurepier/wire/gen/messages/ttypes.py
@@ -3081,8 +3081,8 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.STRING:
-                    self.spec = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I32:
+                    self.spec = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
@@ -3128,8 +3128,8 @@
             oprot.writeI32(self.attempt)
             oprot.writeFieldEnd()
         if self.spec is not None:
-            oprot.writeFieldBegin('spec', TType.STRING, 4)
-            oprot.writeString(self.spec.encode('utf-8') if sys.version_info[0] == 2 else self.spec)
+            oprot.writeFieldBegin('spec', TType.I32, 4)
+            oprot.writeI32(self.spec)
             oprot.writeFieldEnd()
         if self.cpu is not None:
             oprot.writeFieldBegin('cpu', TType.I32, 5)
@@ -3176,16 +3176,19 @@
     """
     Attributes:
      - orders
+     - specs
 
     """
 
     __slots__ = (
         'orders',
+        'specs',
     )
 
 
-    def __init__(self, orders=None,):
+    def __init__(self, orders=None, specs=None,):
         self.orders = orders
+        self.specs = specs
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3207,6 +3210,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.specs = []
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.specs.append(_elem81)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3220,8 +3233,15 @@
         if self.orders is not None:
             oprot.writeFieldBegin('orders', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.orders))
-            for iter76 in self.orders:
-                iter76.write(oprot)
+            for iter82 in self.orders:
+                iter82.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.specs is not None:
+            oprot.writeFieldBegin('specs', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.specs))
+            for iter83 in self.specs:
+                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3276,10 +3296,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.seqs = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = iprot.readI64()
-                        self.seqs.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = iprot.readI64()
+                        self.seqs.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3296,8 +3316,8 @@
         if self.seqs is not None:
             oprot.writeFieldBegin('seqs', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.seqs))
-            for iter83 in self.seqs:
-                oprot.writeI64(iter83)
+            for iter90 in self.seqs:
+                oprot.writeI64(iter90)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3459,11 +3479,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = RunEnd()
-                        _elem89.read(iprot)
-                        self.ends.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = RunEnd()
+                        _elem96.read(iprot)
+                        self.ends.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3486,8 +3506,8 @@
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter90 in self.ends:
-                iter90.write(oprot)
+            for iter97 in self.ends:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.state is not None:
@@ -3554,21 +3574,21 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.running = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = iprot.readI64()
-                        self.running.append(_elem96)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = iprot.readI64()
+                        self.running.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype100, _size97) = iprot.readListBegin()
-                    for _i101 in range(_size97):
-                        _elem102 = RunEnd()
-                        _elem102.read(iprot)
-                        self.ends.append(_elem102)
+                    (_etype107, _size104) = iprot.readListBegin()
+                    for _i108 in range(_size104):
+                        _elem109 = RunEnd()
+                        _elem109.read(iprot)
+                        self.ends.append(_elem109)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3591,15 +3611,15 @@
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.running))
-            for iter103 in self.running:
-                oprot.writeI64(iter103)
+            for iter110 in self.running:
+                oprot.writeI64(iter110)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter104 in self.ends:
-                iter104.write(oprot)
+            for iter111 in self.ends:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.state is not None:
@@ -3834,11 +3854,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = KnownEntry()
-                        _elem110.read(iprot)
-                        self.entries.append(_elem110)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = KnownEntry()
+                        _elem117.read(iprot)
+                        self.entries.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3855,8 +3875,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter111 in self.entries:
-                iter111.write(oprot)
+            for iter118 in self.entries:
+                iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4020,11 +4040,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.steps = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = RunStep()
-                        _elem117.read(iprot)
-                        self.steps.append(_elem117)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = RunStep()
+                        _elem124.read(iprot)
+                        self.steps.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4047,8 +4067,8 @@
         if self.steps is not None:
             oprot.writeFieldBegin('steps', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.steps))
-            for iter118 in self.steps:
-                iter118.write(oprot)
+            for iter125 in self.steps:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.state is not None:
@@ -4310,7 +4330,7 @@
     (1, TType.I64, 'seq', None, None, ),  # 1
     (2, TType.STRING, 'task', 'UTF8', None, ),  # 2
     (3, TType.I32, 'attempt', None, None, ),  # 3
-    (4, TType.STRING, 'spec', 'UTF8', None, ),  # 4
+    (4, TType.I32, 'spec', None, None, ),  # 4
     (5, TType.I32, 'cpu', None, None, ),  # 5
     (6, TType.I32, 'mem_mb', None, None, ),  # 6
     (7, TType.I32, 'gpu', None, None, ),  # 7
@@ -4320,6 +4340,7 @@
 RunOrders.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'orders', (TType.STRUCT, [RunOrder, None], False), None, ),  # 1
+    (2, TType.LIST, 'specs', (TType.STRING, 'UTF8', False), None, ),  # 2
 )
 all_structs.append(RunStops)
 RunStops.thrift_spec = (
--- a/thrift/azurepier.thrift
+++ b/thrift/azurepier.thrift
@@ -221,7 +221,7 @@
   1: i64 seq                // number on the pair of processes
   2: string task
   3: i32 attempt            // start of this task, counted from 1
-  4: string spec
+  4: i32 spec               // position in the message's `specs`
   5: i32 cpu
   6: i32 mem_mb
   7: i32 gpu
@@ -230,6 +230,7 @@
 
 struct RunOrders {
   1: list<RunOrder> orders
+  2: list<string> specs     // a job's tasks share theirs
 }
 
 struct RunStops {
