Survive whatever the store answers, and keep long-lived tasks running

Cause: one malformed answer (at_rev as a word or null, items null, an address that is not UTF-8) raised ValueError or TypeError in the task that follows the configuration or the list of entries; the task ended for good while the process went on. A store that keeps forgetting its history was asked at its own speed. An entry wrote its address under one key for all runs of the slot, so that a paused process which ended late removed its successor's address.

Change: one decoder per kind of answer that raises StoreError alone; items of other writers that can't be read are left out, counted and logged, the others hold; scans read all pages. `Supervisor` starts tasks again after a pause that grows, counts their ends and makes the entry not ready meanwhile. A second loss of history waits. Each run of an entry has its own key, removed when it ends.

Ruled out: a condition on the old key, which needs a read before each write and still races with the end of the old lease.

--- a/azurepier/daemon/_pool_metrics.py
+++ b/azurepier/daemon/_pool_metrics.py
@@ -11,9 +11,10 @@
 
 @attrs.frozen
 class _Collector:
-    """Reads the counts of a shell and its node."""
+    """Reads the counts of a shell, its node and the process's tasks."""
 
     shell: object
+    supervisor: object
 
     def collect(self):
         """Yield metric families."""
@@ -43,6 +44,19 @@
                 buckets=found.cumulative(),
                 sum_value=found.total,
             )
+        failures = core.CounterMetricFamily(
+            'azurepier_task_failures',
+            'Ends of tasks that run as long as the process.',
+            labels=['task'],
+        )
+        for name, count in self.supervisor.failures.items():
+            failures.add_metric([name], count)
+        yield failures
+        yield core.GaugeMetricFamily(
+            'azurepier_tasks_waiting',
+            'Tasks that wait to be started again.',
+            len(self.supervisor.waiting),
+        )
         yield core.CounterMetricFamily(
             'azurepier_handler_errors',
             'Events that the node failed to handle.',
@@ -50,10 +64,10 @@
         )
 
 
-def render(shell):
+def render(shell, supervisor):
     """Return the metrics of a process as text."""
     import prometheus_client
 
     registry = prometheus_client.CollectorRegistry()
-    registry.register(_Collector(shell))
+    registry.register(_Collector(shell, supervisor))
     return prometheus_client.generate_latest(registry)
--- a/azurepier/store/__init__.py
+++ b/azurepier/store/__init__.py
@@ -1,6 +1,7 @@
 """Use of a key-value store that others run; it has faults of every kind."""
 
 from azurepier.store._follow import follow
+from azurepier.store._follow import RETRY_MIN_S
 from azurepier.store._interface import HistoryLostError
 from azurepier.store._interface import Item
 from azurepier.store._interface import LeaseLostError
@@ -13,6 +14,7 @@
     'Item',
     'LeaseLostError',
     'Page',
+    'RETRY_MIN_S',
     'StoreError',
     'follow',
     'register',
--- a/azurepier/store/_follow.py
+++ b/azurepier/store/_follow.py
@@ -30,6 +30,7 @@
         Spreads the retries of several processes.
     """
     revision = None
+    lost = 0
     while True:
         try:
             if revision is None:
@@ -38,12 +39,18 @@
                 page = await store.watch(key, revision, WATCH_WAIT_S)
         except _interface.HistoryLostError as exc:
             revision = None
+            lost += 1
             on_fault(str(exc))
+            if lost > 1:
+                # The revision read after the first loss is lost as well.
+                await asyncio.sleep(rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
             continue
         except _interface.StoreError as exc:
             on_fault(str(exc))
             await asyncio.sleep(rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
             continue
+        if revision is not None:
+            lost = 0
         on_fault(None)
         for item in page.items:
             if item.key == key:
--- a/azurepier/store/_interface.py
+++ b/azurepier/store/_interface.py
@@ -31,7 +31,11 @@
 
 @attrs.frozen
 class Page:
-    """Items as of a revision of the store."""
+    """Items as of a revision of the store.
+
+    `malformed` is the number of items that can't be read and are left out.
+    """
 
     items: tuple
     revision: int
+    malformed: int = 0
--- a/standins/_server.py
+++ b/standins/_server.py
@@ -38,7 +38,7 @@
 
 @attrs.define
 class Reply:
-    """An answer: a JSON value, or lines of JSON from an async iterator."""
+    """An answer: a JSON value or bytes, or lines from an async iterator."""
 
     value: object = None
     status: int = 200
@@ -121,7 +121,9 @@
         elif reply.lines is not None:
             await self._send_lines(reply)
         elif not self.transport.is_closing():
-            body = json.dumps(reply.value).encode()
+            body = reply.value
+            if not isinstance(body, bytes):
+                body = json.dumps(body).encode()
             length = f'content-length: {len(body)}\r\n'
             self.transport.write(_encode(reply.status, body, length))
 
--- a/tests/adapter/fakes.py
+++ b/tests/adapter/fakes.py
@@ -21,14 +21,21 @@
     fault : str
         '' or one of: 'busy' (503), 'many' (429), 'reset', 'silent',
         'lost' (writes are done and not answered).
+    raw : bytes or None
+        Body of all answers in place of the usual ones.
+    page : int
+        Items of an answer at most.
     """
 
     fault: str = ''
+    raw: bytes | None = None
+    page: int = 500
     revision: int = 10
     items: dict = attrs.field(factory=dict)
     changes: list = attrs.field(factory=list)
     forgotten: int = 0
     leases: dict = attrs.field(factory=dict)
+    granted: int = 0
     calls: list = attrs.field(factory=list)
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
@@ -80,6 +87,8 @@
         if self.fault == 'silent':
             await asyncio.sleep(30)
             return None
+        if self.raw is not None:
+            return Reply(self.raw)
         query = dict(urllib.parse.parse_qsl(req.query))
         reply = await _STORE[req.path.split('/')[1]](self, req, query)
         return None if self.fault == 'lost' else reply
@@ -92,9 +101,17 @@
 
     async def _range(self, req, query):
         prefix = query['path_prefix']
-        found = [v for k, v in self.items.items() if k.startswith(prefix)]
+        after = query.get('after', '')
+        keys = sorted(
+            k for k in self.items if k.startswith(prefix) and k > after
+        )
+        found = [self.items[key] for key in keys[: self.page]]
         return Reply(
-            {'items': found, 'has_more': False, 'at_rev': self.revision}
+            {
+                'items': found,
+                'has_more': len(keys) > self.page,
+                'at_rev': self.revision,
+            }
         )
 
     async def _watch(self, req, query):
@@ -126,10 +143,15 @@
         return Reply({'rev': self.revision})
 
     async def _lease(self, req, query):
-        lease = 100 + len(self.leases)
+        self.granted += 1
+        lease = 100 + self.granted
         self.leases[lease] = req.json()['ttl_ms']
         return Reply({'lease_id': lease, 'ttl_ms': req.json()['ttl_ms']})
 
+    async def _end(self, req, query):
+        self.end_lease(int(req.path.rpartition('/')[2]))
+        return Reply({})
+
     async def _keep(self, req, query):
         lease = int(req.path.rpartition('/')[2])
         if lease not in self.leases:
@@ -144,6 +166,7 @@
     'kv-txn': Store._txn,
     'kv-lease': Store._lease,
     'kv-keep': Store._keep,
+    'kv-lease-end': Store._end,
 }
 
 
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -5,6 +5,7 @@
 import functools
 import random
 
+from adapter import _entry
 from adapter import _process
 from adapter import _store
 import pytest
@@ -77,6 +78,16 @@
             page = await client.scan('azurepier/entries/')
             assert [item.key for item in page.items] == ['azurepier/entries/e']
 
+    @in_loop
+    async def test_scan_of_several_pages(self):
+        """Guards against entries that nobody finds in a large fleet."""
+        async with serving() as (stand_in, _, client):
+            stand_in.page = 10
+            for number in range(35):
+                stand_in.put(f'azurepier/entries/{number:02}', b'v')
+            page = await client.scan('azurepier/entries/')
+            assert len(page.items) == 35
+
     @pytest.mark.parametrize('fault', ['busy', 'many', 'reset', 'lost'])
     @in_loop
     async def test_faults(self, fault):
@@ -173,3 +184,132 @@
             assert key not in stand_in.items
             await until(lambda: key in stand_in.items)
             task.cancel()
+
+    @in_loop
+    async def test_removed_when_the_process_ends(self):
+        """Guards against an address in use after its process has ended."""
+        async with serving() as (stand_in, _, client):
+            key = _store.ENTRIES_PREFIX + 'e'
+            task = asyncio.create_task(
+                store.register(client, key, b'a:1', lambda reason: None)
+            )
+            await until(lambda: key in stand_in.items)
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+            assert key not in stand_in.items
+            assert stand_in.leases == {}
+
+    @in_loop
+    async def test_two_processes_of_one_slot(self):
+        """Guards against a late end that removes the successor's address.
+
+        The first process was paused until its lease had ended, and registers
+        again beside the second one before it ends.
+        """
+        async with serving() as (stand_in, _, client):
+            tasks = [
+                asyncio.create_task(
+                    store.register(
+                        client,
+                        _entry.registration_key('e', incarnation),
+                        address,
+                        lambda reason: None,
+                    )
+                )
+                for incarnation, address in (('i2', b'b:1'), ('i1', b'a:1'))
+            ]
+            await until(lambda: len(stand_in.items) == 2)
+            tasks[1].cancel()
+            await until(lambda: len(stand_in.items) == 1)
+            found = await _entry.read_entries(client)
+            assert [address for address, _ in found] == ['b:1']
+            tasks[0].cancel()
+
+
+MALFORMED = [
+    b'',
+    b'[]',
+    b'{"at_rev": "seven"}',
+    b'{"at_rev": null}',
+    b'{"at_rev": true}',
+    b'{"at_rev": 1e400}',
+    b'{"at_rev": 9, "items": null, "events": null, "rev": "x"}',
+    b'{"at_rev": 9, "items": {}, "events": 7, "rev": null}',
+    b'[' * 5000,
+    b'{"at_rev":' * 5000,
+    b'{"key": "\\ud800", "at_rev": 9, "rev": 9, "value": "AA=="}',
+    b'\xff\xfe',
+]
+BAD_ITEMS = [
+    None,
+    7,
+    {},
+    {'key': 7, 'value': '', 'rev': 1},
+    {'key': 'azurepier/entries/x', 'value': 'AA', 'rev': 1},
+    {'key': 'azurepier/entries/x', 'value': '!!!!', 'rev': 1},
+    {'key': 'azurepier/entries/x', 'value': None, 'rev': 1},
+    {'key': 'azurepier/entries/x', 'value': '', 'rev': 'x'},
+    {'key': 'azurepier/entries/x', 'value': '//4=', 'rev': 1},
+    {'key': 'azurepier/entries/x', 'value': 'bm8gcG9ydA==', 'rev': 1},
+]
+
+
+class TestMalformedAnswers:
+    """What another writer or a faulty store may answer."""
+
+    @pytest.mark.parametrize('body', MALFORMED)
+    @pytest.mark.parametrize('call', ['read', 'scan', 'watch', 'grant'])
+    @in_loop
+    async def test_one_kind_of_error(self, call, body):
+        """Guards against an error that ends the task that called."""
+        async with serving() as (stand_in, _, client):
+            stand_in.raw = body
+            calls = {
+                'read': lambda: client.read(_store.CONFIG_KEY),
+                'scan': lambda: client.scan('azurepier/'),
+                'watch': lambda: client.watch('op/', 1, 0.1),
+                'grant': lambda: client.grant(1.0),
+            }
+            with pytest.raises(store.StoreError):
+                await calls[call]()
+
+    @pytest.mark.parametrize('body', MALFORMED)
+    @in_loop
+    async def test_following_goes_on(self, body):
+        """Guards against a process that never sees a change again."""
+        async with serving() as (stand_in, _, client):
+            stand_in.put(_store.CONFIG_KEY, b'1')
+            async with following(client) as (values, faults):
+                await until(lambda: values)
+                stand_in.raw = body
+                stand_in.put(_store.CONFIG_KEY, b'2')
+                await until(lambda: any(faults))
+                stand_in.raw = None
+                await until(lambda: values[-1] == b'2')
+
+    @pytest.mark.parametrize('item', BAD_ITEMS)
+    @in_loop
+    async def test_other_entries_hold(self, item):
+        """Guards against one unreadable entry that hides all others."""
+        async with serving() as (stand_in, _, client):
+            stand_in.put('azurepier/entries/e', b'127.0.0.1:7 d')
+            stand_in.items['azurepier/entries/x'] = item
+            found = await _entry.read_entries(client)
+            assert found == [('127.0.0.1:7', 'd')]
+
+
+class TestForgetfulStore:
+    @in_loop
+    async def test_reads_are_paced(self):
+        """Guards against a loop at the store's speed."""
+        async with serving() as (stand_in, _, client):
+            stand_in.put(_store.CONFIG_KEY, b'1')
+            stand_in.forgotten = 10**9
+            async with following(client) as (values, _):
+                await until(lambda: values)
+                stand_in.calls.clear()
+                await asyncio.sleep(1.0)
+                # One watch and one read for each pause.
+                pauses = 1.0 / store.RETRY_MIN_S
+                assert len(stand_in.calls) <= 2 * pauses + 2
