Recover when a handler fails

Cause: effects of a handler that raised were lost while its state changes stayed: an order that the entry thinks is sent, an answer that no caller gets, a timer that is not set again. The process looked well.

--- a/azurepier/daemon/_shell.py
+++ b/azurepier/daemon/_shell.py
@@ -98,18 +98,35 @@
             for effect in found:
                 self.table[type(effect)](self, effect)
         except Exception as exc:
-            self.handler_errors += 1
-            _log.error(
-                'handler_failed',
-                exc_info=exc,
-                event_class=type(event).__name__,
-                error=repr(exc),
-            )
+            self._on_error(event, exc)
             return False
         finally:
             self._set_alarm()
         return True
 
+    def _on_error(self, event, exc):
+        """Bring the node back to a state that its peers agree with."""
+        self.handler_errors += 1
+        _log.error(
+            'handler_failed',
+            exc_info=exc,
+            event_class=type(event).__name__,
+            error=repr(exc),
+        )
+        if not hasattr(self.module, 'recover'):
+            return
+        try:
+            for effect in self.module.recover(self.node, self.loop.time()):
+                self.table[type(effect)](self, effect)
+        except Exception as again:
+            _log.error('recovery_failed', exc_info=again, error=repr(again))
+        for req, answer in list(self.waiting.items()):
+            if not answer.done() and not self.module.knows(self.node, req):
+                # Its answer was among the effects that were lost.
+                answer.set_exception(
+                    kernel.AzurepierError('the request was not handled')
+                )
+
     async def ask(self, factory, *args, **kwargs):
         """Put a caller's request to the node and wait for its answer.
 
--- a/azurepier/daemon/tests/test_shell.py
+++ b/azurepier/daemon/tests/test_shell.py
@@ -52,6 +52,35 @@
     raise RuntimeError('fault in the node')
 
 
+class TestFailedHandler:
+    @in_loop
+    async def test_recovery(self):
+        """Guards against callers that wait for an answer that was lost."""
+        shell = make_shell('a', Submit=lambda event: [], Tick=fail)
+        recovered = []
+        shell.module.recover = lambda node, now: recovered.append(1) or []
+        shell.module.knows = lambda node, req: req == 2
+        first, second = (
+            shell.begin(lambda req: events.Submit(req, None, None))
+            for _ in range(2)
+        )
+        assert not shell.feed(events.Tick())
+        assert recovered == [1]
+        with pytest.raises(kernel.AzurepierError):
+            await first
+        assert not second.done()
+        second.cancel()
+
+    @in_loop
+    async def test_recovery_that_fails_too(self):
+        """Guards against an error that ends the process."""
+        shell = make_shell('a', Tick=fail)
+        shell.module.recover = lambda node, now: fail(None)
+        shell.module.knows = lambda node, req: False
+        assert not shell.feed(events.Tick())
+        assert shell.handler_errors == 1
+
+
 class TestAsk:
     @in_loop
     async def test_answer(self):
--- a/azurepier/dispatch/__init__.py
+++ b/azurepier/dispatch/__init__.py
@@ -23,7 +23,9 @@
     'find_queue': 'azurepier.dispatch._model:find_queue',
     'handle': 'azurepier.dispatch._node:handle',
     'is_ready': 'azurepier.dispatch._node:is_ready',
+    'knows': 'azurepier.dispatch._node:knows',
     'pending': 'azurepier.dispatch._node:pending',
+    'recover': 'azurepier.dispatch._node:recover',
     'status': 'azurepier.dispatch._node:status',
 }
 
@@ -45,6 +47,8 @@
     'find_queue',
     'handle',
     'is_ready',
+    'knows',
     'pending',
+    'recover',
     'status',
 ]
--- a/azurepier/dispatch/_callers.py
+++ b/azurepier/dispatch/_callers.py
@@ -36,6 +36,7 @@
         for index in reversed(range(spec.count))
     ]
     job.remaining = spec.count
+    node.handling = job
     _demand.note_arrival(node, job)
     node.jobs[spec.id] = job
     node.job_of[event.req] = job
--- a/azurepier/dispatch/_links.py
+++ b/azurepier/dispatch/_links.py
@@ -190,8 +190,8 @@
     return now - since > _bounds.SILENCE_S
 
 
-def drop_all(node, now):
-    """Give up all connections after the process was paused.
+def drop_all(node, now, reason):
+    """Give up all connections, after the process was paused or has failed.
 
     The peers may have given up on this process meanwhile, and what waits in
     the sockets is out of date.
@@ -199,5 +199,5 @@
     out = []
     for conn, endpoint in list(node.by_conn.items()):
         out.append(effects.Abort(conn))
-        out += endpoint_lost(node, endpoint, 'paused', now)
-    return out + _peers.drop_all(node)
+        out += endpoint_lost(node, endpoint, reason, now)
+    return out + _peers.drop_all(node, reason)
--- a/azurepier/dispatch/_node.py
+++ b/azurepier/dispatch/_node.py
@@ -8,16 +8,20 @@
 from azurepier.dispatch import _pass
 from azurepier.dispatch import _peers
 from azurepier.dispatch import _progress
+from azurepier.dispatch import _runs
 from azurepier.dispatch import _state
 from azurepier import kernel
 from azurepier.kernel import effects
 from azurepier.kernel import events
 from azurepier.kernel import messages
+from azurepier.kernel import Verdict
 from azurepier import membership
 
 RoutingSeen = _peers.RoutingSeen
 
 MS_PER_S = 1000
+# Another entry may succeed at once with a job that failed here (s).
+RETRY_INTERNAL_S = 1
 
 
 def create(options, rng, now):
@@ -43,8 +47,9 @@
     if now - node.alive_at > _bounds.STALL_S:
         paused_ms = round((now - node.alive_at) * MS_PER_S)
         out.append(effects.Note('paused', {'ms': paused_ms}))
-        out += _links.drop_all(node, now)
+        out += _links.drop_all(node, now, 'paused')
     node.alive_at = now
+    node.handling = None
     out += _EVENTS[type(event)](node, event, now)
     if node.dirty:
         # One pass serves all that arrives in an iteration of the loop. It
@@ -55,6 +60,32 @@
     return out
 
 
+def recover(node, now):
+    """Return to a sound state after a handler has failed.
+
+    Messages that the handler had made are lost. On new connections both
+    sides tell what they have, so that all are given up.
+    """
+    out = []
+    job, node.handling = node.handling, None
+    if job is not None and node.jobs.get(job.spec.id) is job:
+        # It would fail again in the next pass.
+        verdict = Verdict.MAY_HAVE_RUN if job.begun else Verdict.NOT_RUN
+        rejected = _model.Rejected('internal', RETRY_INTERNAL_S, verdict)
+        out += _runs.finish(node, job, rejected, now)
+    node.orders.clear()
+    for key in ('beat', 'dial'):
+        node.timers.set_sooner(key, now)
+    node.dirty = False
+    node.timers.set('pass', now)
+    return out + _links.drop_all(node, now, 'handler_failed')
+
+
+def knows(node, req):
+    """Tell whether a caller's request will be answered."""
+    return req in node.job_of
+
+
 def is_ready(node, now):
     """Tell whether new connections should be sent to this entry."""
     if node.draining or node.routing is None:
--- a/azurepier/dispatch/_pass.py
+++ b/azurepier/dispatch/_pass.py
@@ -43,7 +43,9 @@
     supply = _supply(node, pool, open_, now)
     ordered = _order.in_order(jobs, supply.fastest, now)
     for job in ordered:
+        node.handling = job
         _start_tasks(node, open_, job, now)
+    node.handling = None
     waiting = [job for job in ordered if job.waiting]
     out = _give_back_stranded(node, pool, waiting, bool(open_), now)
     for job, wait_s, slack_s in _order.hopeless(waiting, supply, now):
--- a/azurepier/dispatch/_peers.py
+++ b/azurepier/dispatch/_peers.py
@@ -149,12 +149,12 @@
     return out
 
 
-def drop_all(node):
-    """Give up all connections after the process was paused."""
+def drop_all(node, reason):
+    """Give up all connections to other entries."""
     out = []
     for peer in list(node.peers.values()):
         out.append(effects.Abort(peer.conn))
-        out += lost(node, peer, 'paused')
+        out += lost(node, peer, reason)
     return out
 
 
--- a/azurepier/dispatch/_runs.py
+++ b/azurepier/dispatch/_runs.py
@@ -184,7 +184,7 @@
         node.count(f'runs_{status.name.lower()}')
     if task is None:
         return out
-    job = task.job
+    job = node.handling = task.job
     job.running.discard((endpoint.incarnation, run.seq))
     endpoint.per_job[job.spec.id] -= 1
     if endpoint.per_job[job.spec.id] <= 0:
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -228,6 +228,8 @@
     )
     routing: object = None
     draining_since: float | None = None
+    # The job that is being handled; it is given up if that fails.
+    handling: object = None
     # Whether the process is about to end; nothing can be finished any more.
     stopped: bool = False
     dirty: bool = False
--- /dev/null
+++ b/azurepier/dispatch/tests/test_errors.py
@@ -0,0 +1,162 @@
+"""Unexpected errors in handlers, and malformed messages, in pools."""
+
+import pytest
+
+from azurepier import dispatch
+from azurepier.dispatch import _node
+from azurepier.kernel import events
+from azurepier.kernel import messages
+from azurepier import runner
+from azurepier.runner import _node as runner_node
+from azurepier import testing
+
+TABLES = {
+    'entry': (_node._EVENTS, _node._ENDPOINT_MESSAGES, _node._TIMERS),
+    'endpoint': (
+        runner_node._EVENTS,
+        runner_node._MESSAGES,
+        runner_node._TIMERS,
+    ),
+}
+# Handlers that only matter while a process ends or the store is read, or
+# that the model does not use.
+_NOT_PLAYED = {
+    events.Drain,
+    events.MembersSeen,
+    'drain_check',
+    'drain_end',
+    'missing',
+}
+HANDLERS = [
+    (role, index, key)
+    for role, tables in TABLES.items()
+    for index, table in enumerate(tables)
+    for key in table
+    if key not in _NOT_PLAYED
+]
+
+
+def name_of(value):
+    return getattr(value, '__name__', str(value))
+
+
+def make_pool():
+    """Return a fleet whose nodes recover from failed handlers."""
+    fleet = testing.make_pool(entries=2, speeds=(1.0,) * 3)
+    for process in fleet.entries.values():
+        process.recover = dispatch.recover
+    for process in fleet.endpoints.values():
+        process.recover = runner.recover
+    return fleet
+
+
+def submit_some(fleet, count=24):
+    """Submit jobs over 2.4 s, some of which are abandoned."""
+    calls = []
+    for number in range(count):
+        calls.append(fleet.submit(0.2, count=3, cpu=1500))
+        fleet.run_for(0.1)
+        if number % 8 == 5:
+            fleet.break_off(calls[-1])
+        if number == 10:
+            fleet.workers['w0'].set_factor(float('inf'))
+        if number == 16:
+            fleet.workers['w0'].set_factor(1.0)
+    return calls
+
+
+@pytest.mark.parametrize('after', [0, 7])
+@pytest.mark.parametrize(
+    ('role', 'index', 'key'),
+    HANDLERS,
+    ids=[f'{role}-{name_of(key)}' for role, _, key in HANDLERS],
+)
+class TestFailedHandler:
+    def test_the_process_goes_on(self, monkeypatch, role, index, key, after):
+        """Guards against one error that ends more than one request.
+
+        The handler runs, and then its effects are lost.
+        """
+        fleet = make_pool()
+        table = TABLES[role][index]
+        handler = table[key]
+        seen = []
+
+        def fail_once(*args):
+            found = handler(*args)
+            seen.append(1)
+            if len(seen) == after + 1:
+                raise RuntimeError('unexpected')
+            return found
+
+        monkeypatch.setitem(table, key, fail_once)
+        submit_some(fleet)
+        fleet.run_for(20.0)
+        assert fleet.ledger.overlaps == []
+        assert fleet.wrong_answers == []
+        known = [
+            call
+            for call in fleet.calls
+            if call.body is None and not self._orphaned(fleet, call)
+        ]
+        assert known == []
+        # Those whose answer was lost are told so by the shell.
+        assert sum(call.body is None for call in fleet.calls) <= 2
+        refused = testing.refused(fleet)
+        assert refused <= 2
+        # Served as before afterwards.
+        calls = [fleet.submit(0.1, count=2) for _ in range(6)]
+        fleet.run_for(2.0)
+        done = [call.body == dispatch.Finished(True) for call in calls]
+        assert all(done)
+
+    def _orphaned(self, fleet, call):
+        process = fleet.entries[call.entry]
+        return not dispatch.knows(process.node, call.req)
+
+
+class TestFaultyJob:
+    def test_a_job_that_always_fails_a_handler(self, monkeypatch):
+        """Guards against an entry that one job stops again and again."""
+        fleet = make_pool()
+        from azurepier.dispatch import _placement
+
+        choose = _placement.choose
+
+        def fail_for_one(endpoints, job, *args, **kwargs):
+            if job.spec.spec == 'job-0':
+                raise RuntimeError('unexpected')
+            return choose(endpoints, job, *args, **kwargs)
+
+        monkeypatch.setattr(_placement, 'choose', fail_for_one)
+        bad = fleet.submit(0.1, entry='e0')
+        fleet.run_for(0.5)
+        assert bad.body.reason == 'internal'
+        assert fleet.entries['e0'].failures == 1
+        calls = [fleet.submit(0.1, entry='e0') for _ in range(5)]
+        fleet.run_for(1.0)
+        assert all(call.body == dispatch.Finished(True) for call in calls)
+
+
+class TestMalformedOrders:
+    @pytest.mark.parametrize('index', [-1, 1, 2**31 - 1])
+    def test_text_that_is_not_there(self, index):
+        """Guards against one order that ends the handling of others."""
+        fleet = testing.make_pool()
+        process = fleet.endpoints['w0']
+        link = next(iter(process.node.by_conn.values()))
+        order = messages.RunOrder(
+            seq=1,
+            task='t',
+            attempt=1,
+            spec=index,
+            cpu=1,
+            mem_mb=1,
+            gpu=0,
+            expected_ms=1,
+        )
+        msg = messages.RunOrders(orders=[order], specs=['s'])
+        fleet.driver.feed(process, events.Received(link.conn, msg))
+        fleet.run_for(1.0)
+        assert fleet.workers['w0'].highest == {}
+        assert len(process.node.by_conn) == 3
--- a/azurepier/runner/__init__.py
+++ b/azurepier/runner/__init__.py
@@ -20,9 +20,10 @@
 )
 _SOURCES = {name: f'azurepier.runner._model:{name}' for name in _MODEL}
 _SOURCES['Options'] = 'azurepier.runner._state:Options'
-for _name in ('create', 'handle', 'status'):
+_NODE = ('create', 'handle', 'knows', 'recover', 'status')
+for _name in _NODE:
     _SOURCES[_name] = f'azurepier.runner._node:{_name}'
 
 __getattr__ = _lazy.loader(__name__, _SOURCES)
 
-__all__ = [*_MODEL, 'Options', 'create', 'handle', 'status']
+__all__ = [*_MODEL, 'Options', *_NODE]
--- a/azurepier/runner/_links.py
+++ b/azurepier/runner/_links.py
@@ -111,12 +111,12 @@
     return []
 
 
-def drop_all(node, now):
-    """Give up all connections after the process was paused."""
+def drop_all(node, now, reason):
+    """Give up all connections, after the process was paused or has failed."""
     out = []
     for link in list(node.by_conn.values()):
         out.append(effects.Abort(link.conn))
-        out += _link_lost(node, link, 'paused', now)
+        out += _link_lost(node, link, reason, now)
     return out
 
 
--- a/azurepier/runner/_node.py
+++ b/azurepier/runner/_node.py
@@ -46,7 +46,7 @@
     if now - node.alive_at > bounds.STALL_S:
         paused_ms = round((now - node.alive_at) * _ends.MS_PER_S)
         out.append(effects.Note('paused', {'ms': paused_ms}))
-        out += _links.drop_all(node, now)
+        out += _links.drop_all(node, now, 'paused')
     node.alive_at = now
     out += _EVENTS[type(event)](node, event, now)
     if node.changed:
@@ -57,6 +57,29 @@
     return out
 
 
+def recover(node, now):
+    """Return to a sound state after a handler has failed.
+
+    Requests to the worker and messages that the handler had made may be
+    lost. The next list shows what the worker has, and on new connections
+    both sides tell what they have.
+    """
+    for key in ('beat', 'dial', 'list', 'missing'):
+        node.timers.set_sooner(key, now)
+    node.listing = False
+    for run in node.runs.values():
+        if run.phase is _state.Phase.STARTING:
+            run.phase, run.sure_at = _state.Phase.UNSURE, now
+        if run.phase is _state.Phase.STOPPING:
+            node.timers.set(('stop', run.order.task, run.number), now)
+    return _links.drop_all(node, now, 'handler_failed')
+
+
+def knows(node, req):
+    """Return False: endpoint processes have no callers."""
+    return False
+
+
 def status(node, now):
     """Return the state for the metrics as plain data."""
     return {
--- a/azurepier/testing/_driver.py
+++ b/azurepier/testing/_driver.py
@@ -35,6 +35,9 @@
     session: int = 0
     wake_at: float | None = None
     worker: typing.Any = None
+    # ``recover(node, now)`` if the node outlives a failed handler.
+    recover: typing.Callable | None = None
+    failures: int = 0
     tasks: dict = attrs.field(factory=dict)
 
 
@@ -119,7 +122,14 @@
         if process.frozen:
             process.inbox.append(event)
             return
-        for effect in process.handle(process.node, event, self.now):
+        try:
+            found = process.handle(process.node, event, self.now)
+        except Exception:
+            if process.recover is None:
+                raise
+            process.failures += 1
+            found = process.recover(process.node, self.now)
+        for effect in found:
             self.table[type(effect)](self, process, effect)
         self._arm(process)
 
