Let InvalidInputError cross processes

Cause: the error could not be unpickled, so that a mistake found in a process of a pool broke the pool instead of being reported. The test fails without the change.

--- a/azurepier/kernel/_errors.py
+++ b/azurepier/kernel/_errors.py
@@ -21,6 +21,11 @@
         self.field = field
         self.reason = reason
 
+    def __reduce__(self):
+        # Without it, an error from a process of a pool can't be restored
+        # there and breaks the pool.
+        return type(self), (self.field, self.reason)
+
 
 class SettingsError(AzurepierError):
     """A settings file or an operators' list is invalid."""
--- a/azurepier/kernel/tests/test_kernel.py
+++ b/azurepier/kernel/tests/test_kernel.py
@@ -31,3 +31,11 @@
         assert list(timers.expired(2.5)) == ['b']
         assert list(timers.expired(3.0)) == ['a']
         assert timers.next_at() is None
+
+
+class TestErrors:
+    def test_pickled(self):
+        """Guards against an error in a process that breaks its whole pool."""
+        found = pickle.loads(pickle.dumps(InvalidInputError('seeds', 'none')))
+        assert (found.field, found.reason) == ('seeds', 'none')
+        assert str(found) == 'seeds: none'
