Add the commands experiment and report

`azurepier experiment RUN.toml` plays policies side by side on virtual time, several seeds in parallel, with 95 % intervals and a self-contained page.

--- a/azurepier/cli/_main.py
+++ b/azurepier/cli/_main.py
@@ -3,8 +3,10 @@
 import click
 
 from azurepier.cli import _config
+from azurepier.cli import _experiment
 from azurepier.cli import _jobs
 from azurepier.cli import _processes
+from azurepier.cli import _report
 
 
 @click.group(context_settings={'help_option_names': ['-h', '--help']})
@@ -20,6 +22,8 @@
 
 main.add_command(_config.config)
 main.add_command(_jobs.jobs)
+main.add_command(_experiment.experiment)
+main.add_command(_report.report)
 main.add_command(_processes.status)
 main.add_command(_processes.events)
 main.add_command(_processes.drain)
--- a/azurepier/experiment/__init__.py
+++ b/azurepier/experiment/__init__.py
@@ -1,6 +1,10 @@
 """Experiments with the dispatch to pools, on virtual time."""
 
 from azurepier.experiment._faults import FAULTS
+from azurepier.experiment._measure import difference
+from azurepier.experiment._measure import Estimate
+from azurepier.experiment._measure import table
+from azurepier.experiment._page import render
 from azurepier.experiment._play import Outcome
 from azurepier.experiment._play import Play
 from azurepier.experiment._play import play
@@ -15,6 +19,7 @@
 
 __all__ = [
     'Burst',
+    'Estimate',
     'Experiment',
     'FAULTS',
     'Fault',
@@ -24,6 +29,9 @@
     'POLICIES',
     'Play',
     'applied',
+    'difference',
     'load',
     'play',
+    'render',
+    'table',
 ]
