--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 BIN := $(VENV)/bin
 SEED ?= 1
 
-.PHONY: install fmt lint gen gen-check test ci demo up down bench overload clean
+.PHONY: install fmt lint gen gen-check test ci demo up down bench overload \
+	scale clean
 
 install: $(VENV)/.installed
 
@@ -47,6 +48,10 @@
 overload: install
 	PYTHONHASHSEED=0 $(BIN)/python -m benchmarks.bench_overload
 
+# Writes build/scale.html: control traffic and refusals against size.
+scale: install
+	PYTHONHASHSEED=0 $(BIN)/python -m benchmarks.bench_scale
+
 ci: lint gen-check test
 
 clean:
