--- a/azurepier/kernel/tests/test_kernel.py
+++ b/azurepier/kernel/tests/test_kernel.py
@@ -1,8 +1,10 @@
 """Tests of what all nodes share."""
 
+import pickle
 import random
 
 from azurepier import kernel
+from azurepier.kernel import InvalidInputError
 
 
 class TestIds:
