Play recorded arrivals, uneven tasks and the right fleet in experiments

Cause: the model assumed one slow worker in four. The logs of further show the opposite: one in four is 2.2 times as fast as the others (declared over actual time 1.7 and 0.75 in the median). Tasks of one job were alike, while they differ by 15 %.

--- a/azurepier/cli/_experiment.py
+++ b/azurepier/cli/_experiment.py
@@ -76,7 +76,10 @@
     from azurepier import experiment as experiments
 
     spec = experiments.load(
-        file.read(), experiments.POLICIES, experiments.FAULTS
+        file.read(),
+        experiments.POLICIES,
+        experiments.FAULTS,
+        pathlib.Path(file.name).parent,
     )
     plays = _play_all(
         spec, spec.policies, range(1, (seeds or spec.seeds) + 1), jobs
--- a/azurepier/experiment/_arrivals.py
+++ b/azurepier/experiment/_arrivals.py
@@ -13,6 +13,8 @@
 # Declared run times are wrong by up to this share.
 DECLARED_OFF = 0.4
 MAX_TASKS_TIMES = 4
+# Recorded arrivals are moved by up to this time, so that seeds differ (s).
+JITTER_S = 0.05
 
 
 @attrs.frozen
@@ -25,6 +27,7 @@
     work_s: float
     cores: float
     declared_s: float
+    entry: int | None = None
 
     @property
     def core_s(self):
@@ -64,12 +67,32 @@
     return Arrival(at_s, kind, tasks, work_s, cores, declared_s)
 
 
+def _recorded(experiment, rng):
+    """Return recorded arrivals, each moved a little by the seed."""
+    kinds = {kind.name: kind for kind in experiment.kinds}
+    found = [
+        Arrival(
+            at_s=max(row['at_s'] + rng.uniform(-JITTER_S, JITTER_S), 0.0),
+            kind=kinds[row['kind']],
+            tasks=row['tasks'],
+            work_s=row['work_ms'] / 1000,
+            cores=row['cores'],
+            declared_s=row['declared_ms'] / 1000,
+            entry=row['entry'],
+        )
+        for row in experiment.arrivals
+    ]
+    return sorted(found, key=lambda arrival: arrival.at_s)
+
+
 def make(experiment, seed):
     """Return the arrivals of an experiment in order of time.
 
     Poisson processes whose rate changes are drawn by thinning.
     """
     rng = random.Random(f'{experiment.name}-{seed}')
+    if experiment.arrivals:
+        return _recorded(experiment, rng)
     found = []
     for kind in experiment.kinds:
         peak = _peak(experiment, kind)
--- a/azurepier/experiment/_play.py
+++ b/azurepier/experiment/_play.py
@@ -80,6 +80,7 @@
         ],
         domains=spec.domains,
         delay_s=spec.delay_ms / 1000,
+        uneven=experiment.uneven,
     )
     fleet.driver.notes = None
     return fleet
@@ -101,6 +102,14 @@
     tries: int = 0
 
 
+def _entry(caller, names, weights, rng):
+    """Return the entry of a submission; later ones go to another."""
+    recorded = caller.arrival.entry
+    if recorded is None or caller.tries > 1:
+        return rng.choices(names, weights)[0]
+    return names[recorded % len(names)]
+
+
 def _submit(fleet, caller, experiment, names, weights, rng):
     arrival = caller.arrival
     kind = arrival.kind
@@ -109,7 +118,7 @@
         arrival.work_s,
         count=arrival.tasks,
         cpu=round(arrival.cores * 1000),
-        entry=rng.choices(names, weights)[0],
+        entry=_entry(caller, names, weights, rng),
         declared_ms=round(arrival.declared_s * 1000),
         queue=testing.queue(
             kind.name, stretch=kind.stretch, margin_s=kind.margin_ms / 1000
@@ -139,11 +148,21 @@
         )
 
 
-def _outcome(caller, start):
+def _due_s(caller, uneven):
+    """Return the objective, which the longest task of a job decides."""
+    arrival = caller.arrival
+    longest = max(
+        testing.task_factor(name, uneven)
+        for name in testing.task_names(caller.call.job)
+    )
+    due_s = arrival.kind.stretch * arrival.work_s * longest
+    return due_s + arrival.kind.margin_ms / 1000
+
+
+def _outcome(caller, start, uneven):
     arrival, call = caller.arrival, caller.call
     owed = _size_worth(arrival)
-    due_s = arrival.kind.stretch * arrival.work_s
-    due_s += arrival.kind.margin_ms / 1000
+    due_s = _due_s(caller, uneven)
     end = call.answered_at
     took_s = 0.0 if end is None else end - start - arrival.at_s
     what, earned = 'failed', 0.0
@@ -214,7 +233,7 @@
         sample()
         fleet.run_for(experiment.seconds + TAIL_S)
         return Play(
-            [_outcome(caller, start) for caller in callers],
+            [_outcome(caller, start, experiment.uneven) for caller in callers],
             [(at, share) for at, share in used if at < experiment.seconds + 2],
             dict(driver.sent),
         )
--- a/azurepier/experiment/_spec.py
+++ b/azurepier/experiment/_spec.py
@@ -1,5 +1,7 @@
 """What an experiment plays, read from a TOML file."""
 
+import csv
+import pathlib
 import tomllib
 
 import attrs
@@ -36,7 +38,7 @@
     workers: int = attrs.field(default=11, validator=_positive)
     domains: int = attrs.field(default=3, validator=_positive)
     cores: tuple = attrs.field(default=(64.0, 64.0, 96.0), converter=tuple)
-    speeds: tuple = attrs.field(default=(0.55, 1.2, 1.2), converter=tuple)
+    speeds: tuple = attrs.field(default=(1.8, 0.8, 0.8), converter=tuple)
     delay_ms: float = attrs.field(default=1.0, validator=_positive)
 
 
@@ -121,7 +123,13 @@
         Share of the jobs at the first entry, as a multiple of an even share.
     returns : int
         How often a caller comes back after a refusal, when it was told to.
+    uneven : float
+        By how much the run times of a job's tasks differ from their mean.
     seeds : int
+    arrivals : tuple of dict
+        Recorded jobs that are submitted in place of those of `kinds`, with
+        the columns of `ARRIVAL_COLUMNS`; read from the file that the field
+        names.
     policies : tuple of str
         Names in `azurepier.experiment._policies.POLICIES`.
     """
@@ -135,10 +143,23 @@
     load: float = attrs.field(default=1.0, validator=_positive)
     busiest: float = attrs.field(default=1.0, validator=_positive)
     returns: int = 0
+    uneven: float = attrs.field(default=0.15, validator=_share)
     seeds: int = attrs.field(default=6, validator=_positive)
+    arrivals: tuple = ()
     policies: tuple = attrs.field(default=('azurepier',), converter=tuple)
 
 
+# Columns of a file of recorded arrivals. `entry` counts from 0, `kind` names
+# one of the experiment's kinds.
+ARRIVAL_COLUMNS = {
+    'at_s': float,
+    'entry': int,
+    'kind': str,
+    'tasks': int,
+    'work_ms': float,
+    'cores': float,
+    'declared_ms': float,
+}
 _TABLES = {'kinds': Kind, 'bursts': Burst, 'faults': Fault}
 
 
@@ -155,7 +176,30 @@
         raise InvalidInputError(where, str(exc)) from exc
 
 
-def load(text, policies, faults):
+def _recorded(path, kinds):
+    names = {kind.name for kind in kinds}
+    try:
+        with open(path, encoding='utf-8', newline='') as file:
+            rows = list(csv.DictReader(file))
+    except (OSError, UnicodeDecodeError, csv.Error) as exc:
+        raise InvalidInputError('arrivals', f'not readable: {exc}') from exc
+    found = []
+    for number, row in enumerate(rows, start=2):
+        where = f'arrivals, line {number}'
+        try:
+            values = {
+                name: convert(row[name])
+                for name, convert in ARRIVAL_COLUMNS.items()
+            }
+        except (KeyError, TypeError, ValueError) as exc:
+            raise InvalidInputError(where, f'malformed: {exc}') from exc
+        if values['kind'] not in names:
+            raise InvalidInputError(where, f'unknown kind {values["kind"]!r}')
+        found.append(values)
+    return tuple(found)
+
+
+def load(text, policies, faults, folder='.'):
     """Return the experiment that a TOML text describes.
 
     Parameters
@@ -163,6 +207,8 @@
     text : str
     policies, faults : collection of str
         Known names.
+    folder : str or pathlib.Path
+        Where the files that the text names are.
 
     Raises
     ------
@@ -183,6 +229,9 @@
         )
     if not raw['kinds']:
         raise InvalidInputError('kinds', 'none')
+    if 'arrivals' in raw:
+        path = pathlib.Path(folder) / str(raw['arrivals'])
+        raw['arrivals'] = _recorded(path, raw['kinds'])
     raw['fleet'] = _make(Fleet, raw.get('fleet', {}), 'fleet')
     found = _make(Experiment, raw, 'experiment')
     for name in found.policies:
--- a/azurepier/testing/__init__.py
+++ b/azurepier/testing/__init__.py
@@ -17,9 +17,11 @@
 from azurepier.testing._pool import make_pool
 from azurepier.testing._pool import PoolFleet
 from azurepier.testing._pool import queue
+from azurepier.testing._pool import task_names
 from azurepier.testing import _scale as scale
 from azurepier.testing._worker import Ledger
 from azurepier.testing._worker import PoolWorker
+from azurepier.testing._worker import task_factor
 
 __all__ = [
     'Driver',
@@ -42,4 +44,6 @@
     'scale',
     'slow_down',
     'spec',
+    'task_factor',
+    'task_names',
 ]
--- a/azurepier/testing/_pool.py
+++ b/azurepier/testing/_pool.py
@@ -87,6 +87,7 @@
     wrong_answers: list = attrs.field(factory=list)
     reqs: int = 0
     incarnations: int = 0
+    uneven: float = 0.0
     domains: int = 1
 
     def run_for(self, seconds):
@@ -149,6 +150,7 @@
             speed,
             self.works.__getitem__,
             rng=random.Random(f'{self.driver.seed}-{name}'),
+            uneven=self.uneven,
         )
         self.workers[name] = worker
         self.driver.after(0.05, self._heartbeat, name)
@@ -250,16 +252,17 @@
             if self._started(call) > call.started_before:
                 self.wrong_answers.append(call)
         elif body.succeeded:
-            if not all(map(self.ledger.done.get, _names(call))):
+            if not all(map(self.ledger.done.get, task_names(call.job))):
                 self.wrong_answers.append(call)
 
     def _started(self, call):
         started = self.ledger.started
-        return sum(started.get(name, 0) for name in _names(call))
+        return sum(started.get(name, 0) for name in task_names(call.job))
 
 
-def _names(call):
-    return [f'{call.job.id}.0.0.{i}' for i in range(call.job.count)]
+def task_names(job):
+    """Return the names of a job's tasks."""
+    return [f'{job.id}.0.0.{index}' for index in range(job.count)]
 
 
 def make_pool(
@@ -269,6 +272,7 @@
     cpu=8000,
     domains=1,
     delay_s=LOCAL_S,
+    uneven=0.0,
 ):
     """Return a fleet that has been running for two seconds.
 
@@ -281,10 +285,12 @@
         Capacity of the workers (thousandths of a core).
     delay_s : float
         One-way delay of messages between processes (s).
+    uneven : float
+        By how much the tasks of a job differ from their mean.
     """
     driver = _driver.Driver(seed, lambda a, b: LOCAL_S if a is b else delay_s)
     cpus = [cpu] * len(speeds) if isinstance(cpu, int) else cpu
-    fleet = PoolFleet(driver, _worker.Ledger(), domains=domains)
+    fleet = PoolFleet(driver, _worker.Ledger(), domains=domains, uneven=uneven)
     driver.on_answer = fleet.on_answer
     driver.notes = []
     driver.table[runner.StartRun] = lambda _, process, effect: (
--- a/azurepier/testing/_worker.py
+++ b/azurepier/testing/_worker.py
@@ -6,10 +6,26 @@
 
 from azurepier import runner
 
+# When orders that are carried out late begin (s).
 LATE_MIN_S = 2.0
 LATE_MAX_S = 12.0
 
 
+def task_factor(task, uneven):
+    """Return by how much a task takes longer than the mean of its job.
+
+    Parameters
+    ----------
+    task : str
+        Name of the task.
+    uneven : float
+        Largest deviation; 0: all tasks of a job are alike.
+    """
+    if not uneven:
+        return 1.0
+    return 1.0 + random.Random(task).uniform(-uneven, uneven)
+
+
 @attrs.define(eq=False)
 class Ledger:
     """What all workers of a fleet have run.
@@ -81,6 +97,8 @@
         answer, and of those whose answer is lost.
     dark : bool
         Whether nothing is answered.
+    uneven : float
+        By how much the tasks of a job differ from their mean.
     """
 
     driver: object
@@ -95,6 +113,7 @@
     late_share: float = 0.0
     lost_share: float = 0.0
     dark: bool = False
+    uneven: float = 0.0
     born: int = 1
     sequence: int = 0
     leaving: bool = False
@@ -178,6 +197,7 @@
         if effect.task in self.runs:
             return result
         work_s, cpu, fails = self.work_of(effect.spec)
+        work_s *= task_factor(effect.task, self.uneven)
         run = _Run(effect.task, effect.number, work_s, cpu)
         run.at = self.driver.now
         self.runs[effect.task] = run
