Listen before the rest of a process is imported

Change: the sockets are opened right after the settings are read, before asyncio, uvicorn and the rest are imported; azurepier.wire exports lazily for that.

Test: callers that connect before the first line are served; fails on the former code.

--- a/azurepier/wire/__init__.py
+++ b/azurepier/wire/__init__.py
@@ -1,21 +1,30 @@
 """Messages on the wire: codec, framing, handshake and connections."""
 
-from azurepier.wire._codec import check_accelerated
-from azurepier.wire._codec import CLASS_OF_TYPE
-from azurepier.wire._codec import decode
-from azurepier.wire._codec import encode
-from azurepier.wire._codec import MAX_FRAME_BYTES
-from azurepier.wire._connection import Connection
-from azurepier.wire._connection import Hooks
-from azurepier.wire._connection import Traffic
-from azurepier.wire._sockets import bind
-from azurepier.wire._sockets import bound_address
-from azurepier.wire._sockets import dial
-from azurepier.wire._sockets import listen
-from azurepier.wire._sockets import Listener
-from azurepier.wire._sockets import split_address
+from azurepier import _lazy
+
+# A process listens before it imports the codec and the messages.
+_SOURCES = {
+    'BACKLOG': 'azurepier.wire._addresses:BACKLOG',
+    'CLASS_OF_TYPE': 'azurepier.wire._codec:CLASS_OF_TYPE',
+    'Connection': 'azurepier.wire._connection:Connection',
+    'Hooks': 'azurepier.wire._connection:Hooks',
+    'Listener': 'azurepier.wire._sockets:Listener',
+    'MAX_FRAME_BYTES': 'azurepier.wire._codec:MAX_FRAME_BYTES',
+    'Traffic': 'azurepier.wire._connection:Traffic',
+    'bind': 'azurepier.wire._addresses:bind',
+    'bound_address': 'azurepier.wire._addresses:bound_address',
+    'check_accelerated': 'azurepier.wire._codec:check_accelerated',
+    'decode': 'azurepier.wire._codec:decode',
+    'dial': 'azurepier.wire._sockets:dial',
+    'encode': 'azurepier.wire._codec:encode',
+    'listen': 'azurepier.wire._sockets:listen',
+    'split_address': 'azurepier.wire._addresses:split_address',
+}
+
+__getattr__ = _lazy.loader(__name__, _SOURCES)
 
 __all__ = [
+    'BACKLOG',
     'CLASS_OF_TYPE',
     'Connection',
     'Hooks',
--- a/azurepier/wire/_sockets.py
+++ b/azurepier/wire/_sockets.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import functools
-import socket
 
 import attrs
 
+from azurepier.wire import _addresses
 from azurepier.wire import _connection
 from azurepier.wire import _handshake
 
@@ -17,53 +17,6 @@
 # is sent only after a second; a new attempt finds it sooner. Regions are a
 # tenth of a second apart at most.
 DIAL_TIMEOUT_S = 0.3
-_BACKLOG = 1024
-
-
-def split_address(address):
-    """Split "host:port" or "[v6]:port".
-
-    Raises
-    ------
-    ValueError
-        If `address` does not have this form.
-    """
-    host, colon, port = address.rpartition(':')
-    host = host.removeprefix('[').removesuffix(']')
-    if not colon or not host or not port.isascii() or not port.isdigit():
-        raise ValueError(f'{address!r} is not of the form host:port')
-    if int(port) > 65535:
-        raise ValueError(f'port {port} is larger than 65535')
-    return host, int(port)
-
-
-def bind(address):
-    """Return a listening socket; port 0 lets the system choose one.
-
-    Raises
-    ------
-    OSError
-        If the address can't be bound.
-    """
-    host, port = split_address(address)
-    family = socket.AF_INET6 if ':' in host else socket.AF_INET
-    # asyncio sets TCP_NODELAY only where the protocol is given explicitly;
-    # accepted sockets inherit it. Without, answers wait 40 ms for an ACK.
-    sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((host, port))
-        sock.listen(_BACKLOG)
-    except OSError:
-        sock.close()
-        raise
-    return sock
-
-
-def bound_address(sock):
-    """Return "host:port" of a bound socket."""
-    host, port = sock.getsockname()[:2]
-    return f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
 
 
 @attrs.define(eq=False)
@@ -153,7 +106,7 @@
         _connection.Connection, _handshake.Side.DIALER, hooks
     )
     try:
-        host, port = split_address(address)
+        host, port = _addresses.split_address(address)
         async with asyncio.timeout(DIAL_TIMEOUT_S):
             _, conn = await loop.create_connection(factory, host, port)
     except TimeoutError:
--- a/tests/adapter/test_decode.py
+++ b/tests/adapter/test_decode.py
@@ -9,6 +9,7 @@
 
 from adapter import _front
 from adapter import _jobs
+from adapter import _listening
 from adapter import _settings
 from adapter import _workers
 import pytest
@@ -269,5 +270,5 @@
         """Guards against metrics that are looked for on another port."""
         with open(ROOT / 'deploy' / 'system.toml', 'rb') as file:
             roles = tomllib.load(file)['roles']
-        address = f'{_front.METRICS_PORT}{_front.METRICS_PATH}'
+        address = f'{_listening.METRICS_PORT}{_front.METRICS_PATH}'
         assert {role['metrics'] for role in roles.values()} == {address}
--- a/tests/adapter/test_programs.py
+++ b/tests/adapter/test_programs.py
@@ -282,6 +282,30 @@
             answer = await fleet.submit(3, job_id, 100, 2)
             assert answer == (200, {'state': 'succeeded'})
 
+    @in_loop
+    async def test_callers_that_come_during_a_start(self, tmp_path):
+        """Guards against callers that a process refuses while it imports.
+
+        They would come back only after a pause of their own.
+        """
+        async with running(tmp_path) as fleet:
+            fleet.processes[2].kill()
+            fleet.processes[2].wait()
+            before = len(fleet.log(2))
+            fleet.start_program('entry', 2)
+            async with asyncio.timeout(LIMIT_S):
+                while True:
+                    with contextlib.suppress(OSError):
+                        _, writer = await asyncio.open_connection(
+                            '127.77.0.2', 17301
+                        )
+                        break
+                    await asyncio.sleep(0.002)
+            assert fleet.log(2)[before:] == []
+            writer.close()
+            answer = await fleet.submit(2, '8' * 16)
+            assert answer == (200, {'state': 'succeeded'})
+
     @in_loop
     async def test_stopped_entry(self, tmp_path):
         """Guards against a graceful stop that drops work in hand."""
