Keep some room for urgent queues

Cause: in a burst beyond the capacity, room becomes free task by task and the next usual job takes it at once.

Where all queues have one priority nothing changes.

--- a/azurepier/dispatch/_callers.py
+++ b/azurepier/dispatch/_callers.py
@@ -4,6 +4,7 @@
 from azurepier.dispatch import _drain
 from azurepier.dispatch import _model
 from azurepier.dispatch import _placement
+from azurepier.dispatch import _reserve
 from azurepier.dispatch import _runs
 from azurepier.dispatch import _state
 from azurepier.kernel import effects
@@ -38,6 +39,7 @@
     job.remaining = spec.count
     node.handling = job
     _demand.note_arrival(node, job)
+    _reserve.note_arrival(node, job)
     node.jobs[spec.id] = job
     node.job_of[event.req] = job
     node.count('jobs')
--- a/azurepier/dispatch/_pass.py
+++ b/azurepier/dispatch/_pass.py
@@ -7,6 +7,7 @@
 from azurepier.dispatch import _model
 from azurepier.dispatch import _order
 from azurepier.dispatch import _placement
+from azurepier.dispatch import _reserve
 from azurepier.dispatch import _runs
 from azurepier.kernel import effects
 from azurepier.kernel import Verdict
@@ -82,6 +83,8 @@
         task = job.waiting[-1]
         if task.not_before > now or task.name in node.running_names:
             return
+        if not at_once and _reserve.is_kept(node, open_, job, now):
+            return
         endpoint = _placement.choose(open_, job, now, node.rng, at_once)
         if endpoint is None:
             return
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -245,6 +245,8 @@
     # Recently arrived work, decaying (core-seconds), and as of when (s).
     arrived: float = 0.0
     arrived_at: float = 0.0
+    # When the latest job came (s), by pool and priority of its queue.
+    arrived_of: dict = attrs.field(factory=dict)
     # When the first endpoint could be used again after none could (s).
     opened_at: float = 0.0
     # Returns the number of open connections of callers.
--- a/azurepier/experiment/_play.py
+++ b/azurepier/experiment/_play.py
@@ -121,7 +121,10 @@
         entry=_entry(caller, names, weights, rng),
         declared_ms=round(arrival.declared_s * 1000),
         queue=testing.queue(
-            kind.name, stretch=kind.stretch, margin_s=kind.margin_ms / 1000
+            kind.name,
+            stretch=kind.stretch,
+            margin_s=kind.margin_ms / 1000,
+            priority=kind.priority,
         ),
     )
     if caller.tries <= experiment.returns:
--- a/azurepier/experiment/_policies.py
+++ b/azurepier/experiment/_policies.py
@@ -11,6 +11,9 @@
 from azurepier.dispatch import _order
 from azurepier.dispatch import _placement
 from azurepier.dispatch import _progress
+from azurepier.dispatch import _reserve
+from azurepier.runner import _progress as runner_progress
+from azurepier.runner import _trial
 
 
 def _fits(endpoints, job):
@@ -47,6 +50,10 @@
     return sorted(jobs, key=lambda job: job.received_at)
 
 
+def _by_objective(jobs, fastest, now):
+    return sorted(jobs, key=lambda job: _order.start_by(job, fastest))
+
+
 _FIFO = (
     (_order, 'in_order', _by_arrival),
     (_order, 'hopeless', lambda *_: []),
@@ -64,6 +71,14 @@
     'no refusals': ((_order, 'hopeless', lambda *_: []),),
     'equal shares': ((_demand, 'share', lambda endpoint, mine: 1 / 3),),
     'no moves': _NO_MOVES,
+    'no reserve': ((_reserve, 'is_kept', lambda *_: False),),
+    'short waits': ((_order, 'WAIT_FACTOR', 1.0),),
+    'begun not first': ((_order, 'in_order', _by_objective),),
+    'no jitter': ((_placement, 'JITTER', 0.0),),
+    'no sizes': ((_progress, '_learn_size', lambda *_: None),),
+    'no speeds': ((runner_progress, 'speed', lambda *_: 1.0),),
+    'no trials': ((_trial, 'is_suspect', lambda *_: False),),
+    'no spare room': ((_placement, 'has_spare_room', lambda *_: False),),
     'random': _baseline(_random),
     'two choices': _baseline(_two_choices),
     'least loaded': _baseline(_least_loaded),
--- a/azurepier/experiment/_spec.py
+++ b/azurepier/experiment/_spec.py
@@ -62,6 +62,8 @@
         Share of the jobs that take this many times as long.
     stretch, margin_ms : float
         Objective of the response time.
+    priority : int
+        Of the kind's queue; 0 comes first.
     """
 
     name: str
@@ -75,6 +77,7 @@
     tail_times: float = attrs.field(default=7.0, validator=_positive)
     stretch: float = attrs.field(default=1.6, validator=_positive)
     margin_ms: float = attrs.field(default=60.0, validator=_positive)
+    priority: int = 0
 
 
 @attrs.frozen
--- a/azurepier/testing/_pool.py
+++ b/azurepier/testing/_pool.py
@@ -26,12 +26,12 @@
     grace_s: float = GRACE_S
 
 
-def queue(name='q', max_attempts=3, stretch=1.6, margin_s=0.06):
+def queue(name='q', max_attempts=3, stretch=1.6, margin_s=0.06, priority=0):
     """Return a queue that the pool serves."""
     return dispatch.Queue(
         name=name,
         pool='pool',
-        priority=0,
+        priority=priority,
         max_attempts=max_attempts,
         stretch=stretch,
         margin_s=margin_s,
