--- a/azurepier/dispatch/_reserve.py
+++ b/azurepier/dispatch/_reserve.py
@@ -13,7 +13,8 @@
 # Part of a pool that stays free for more urgent queues: room for about one
 # of their jobs.
 URGENT_SHARE = 0.04
-# How long room is kept after an urgent job has come (s).
+# How long room is kept after an urgent job has come (s): longer than the
+# pauses between urgent jobs of a calm hour.
 URGENT_S = 5.0
 
 
