Evacuate failure domains

Change: entries follow everything that the operator writes with one watch (configuration and evacuations), so that the number of store calls stays the same. The evacuated domains carry the revision of the store at which they were read; entries tell each other and their endpoint processes, and only a newer revision replaces an older one. Endpoint processes check last: they start nothing before the first news, refuse orders, don't repeat starts and withdraw queued ones, and read the store themselves while none of their entries reaches it. Evacuated endpoints don't count as supply; a job whose whole pool is evacuated is rejected at once.

Ruled out: a second watch for evacuations alone (doubles the watches of each entry), and a watch in each endpoint process (one per worker).

--- a/azurepier/dispatch/_callers.py
+++ b/azurepier/dispatch/_callers.py
@@ -2,6 +2,7 @@
 
 from azurepier.dispatch import _demand
 from azurepier.dispatch import _drain
+from azurepier.dispatch import _evacuation
 from azurepier.dispatch import _model
 from azurepier.dispatch import _placement
 from azurepier.dispatch import _reserve
@@ -77,10 +78,15 @@
         if endpoint.pool == job.queue.pool and endpoint.cpu
     ]
     resources = job.request.resources
-    if pool_endpoints and not any(
-        _placement.could_fit(each, resources) for each in pool_endpoints
-    ):
+    fitting = [
+        each
+        for each in pool_endpoints
+        if _placement.could_fit(each, resources)
+    ]
+    if pool_endpoints and not fitting:
         return 'impossible', IMPOSSIBLE_RETRY_S
+    if fitting and all(each.evacuated for each in fitting):
+        return 'evacuated', _evacuation.RETRY_EVACUATED_S
     return None
 
 
--- a/azurepier/dispatch/_links.py
+++ b/azurepier/dispatch/_links.py
@@ -2,6 +2,7 @@
 
 from azurepier.dispatch import _bounds
 from azurepier.dispatch import _demand
+from azurepier.dispatch import _evacuation
 from azurepier.dispatch import _peers
 from azurepier.dispatch import _runs
 from azurepier.dispatch import _state
@@ -24,6 +25,7 @@
         node.warm_up_since = now
     endpoint.conn = conn
     endpoint.accepting = False
+    endpoint.evacuated = _evacuation.is_evacuated(node, endpoint.domain)
     endpoint.last_received_at = now
     node.by_conn[conn] = endpoint
     out.append(
@@ -32,6 +34,10 @@
             {'endpoint': hello.name, 'runs': len(endpoint.runs)},
         )
     )
+    if node.evacuations is not None:
+        demand = _demand.demand_per_endpoint(node)
+        msg = _evacuation.make_heartbeat(node, demand)
+        out.append(effects.Send(conn, msg))
     return out + _peers.send_roster(node, endpoint, now)
 
 
@@ -170,6 +176,7 @@
     msg = messages.Beat(
         config_version=_state.config_version(node),
         demand=_demand.demand_per_endpoint(node),
+        store_silent_ms=_evacuation.store_silent_ms(node, now),
     )
     out = []
     for endpoint in list(node.by_conn.values()):
--- a/azurepier/dispatch/_node.py
+++ b/azurepier/dispatch/_node.py
@@ -3,6 +3,7 @@
 from azurepier.dispatch import _bounds
 from azurepier.dispatch import _callers
 from azurepier.dispatch import _drain
+from azurepier.dispatch import _evacuation
 from azurepier.dispatch import _links
 from azurepier.dispatch import _model
 from azurepier.dispatch import _pass
@@ -33,6 +34,7 @@
         rng=rng,
         started_at=now,
         last_event_at=now,
+        store_seen_at=now,
         roster=membership.Roster(
             options.name, options.domain, options.seeds, options.address
         ),
@@ -88,10 +90,17 @@
 
 
 def is_ready(node, now):
-    """Tell whether new connections should be routed to this entry."""
+    """Tell whether new connections should be routed to this entry.
+
+    While all failure domains are evacuated, it rejects jobs as every other
+    entry would.
+    """
     if node.draining or node.routing is None:
         return False
-    return any(endpoint.accepting for endpoint in node.by_conn.values())
+    return any(
+        endpoint.accepting or endpoint.evacuated
+        for endpoint in node.by_conn.values()
+    )
 
 
 def pending(node, queue):
@@ -115,6 +124,10 @@
         'entries': len(node.roster.known) + 1,
         'peers': len(node.peers),
         'config_version': _state.config_version(node),
+        'evacuated_domains': (
+            -1 if node.evacuations is None else len(node.evacuations.domains)
+        ),
+        'store_silent_s': now - node.store_seen_at,
         'counters': dict(node.counters),
     }
 
@@ -172,6 +185,7 @@
     events.Tick: _on_tick,
     events.Drain: _drain.on_drain,
     events.MembersSeen: _peers.on_members_seen,
+    membership.EvacuationsLoaded: _evacuation.on_evacuations_loaded,
     _peers.RoutingLoaded: _peers.on_routing_loaded,
 }
 
--- a/azurepier/dispatch/_pass.py
+++ b/azurepier/dispatch/_pass.py
@@ -4,6 +4,7 @@
 
 from azurepier.dispatch import _bounds
 from azurepier.dispatch import _demand
+from azurepier.dispatch import _evacuation
 from azurepier.dispatch import _model
 from azurepier.dispatch import _order
 from azurepier.dispatch import _placement
@@ -108,15 +109,17 @@
     """Reject the started jobs of a pool without endpoints after a timeout.
 
     The caller resubmits the job to another entry, which may reach endpoints.
+    Jobs that have not started are rejected at once if all endpoints are
+    evacuated.
     """
     if any_open:
         if node.unavailable_since.pop(pool, None) is not None:
             node.warm_up_since = now
         return []
     since = node.unavailable_since.setdefault(pool, now)
+    out = _reject_if_evacuated(node, pool, waiting, now)
     if now - since < NO_ENDPOINT_TIMEOUT_S:
-        return []
-    out = []
+        return out
     for job in list(waiting):
         if job.has_started and not job.running:
             waiting.remove(job)
@@ -127,6 +130,23 @@
     return out
 
 
+def _reject_if_evacuated(node, pool, waiting, now):
+    """Reject the jobs that have not started if the pool is evacuated."""
+    endpoints = [
+        endpoint
+        for endpoint in node.by_conn.values()
+        if endpoint.pool == pool and endpoint.cpu
+    ]
+    if not endpoints or not all(each.evacuated for each in endpoints):
+        return []
+    out = []
+    for job in [each for each in waiting if not each.has_started]:
+        waiting.remove(job)
+        rejected = _model.Rejected('evacuated', _evacuation.RETRY_EVACUATED_S)
+        out += _runs.finish_job(node, job, rejected, now)
+    return out
+
+
 def _pool_supply(node, pool, open_endpoints, now):
     if not open_endpoints:
         return _order.UNKNOWN_SUPPLY
--- a/azurepier/dispatch/_peers.py
+++ b/azurepier/dispatch/_peers.py
@@ -8,6 +8,7 @@
 import attrs
 
 from azurepier.dispatch import _bounds
+from azurepier.dispatch import _evacuation
 from azurepier.dispatch import _state
 from azurepier.kernel import effects
 from azurepier.kernel import messages
@@ -44,6 +45,11 @@
     node.roster.mark_connected(peer.address)
     fields = {'entry': hello.name, 'address': hello.address}
     out.append(effects.Log('entry_connected', fields))
+    if node.evacuations is not None:
+        # Before the configuration, so that a new entry starts no task in an
+        # evacuated failure domain.
+        msg = _evacuation.make_heartbeat(node, 0.0)
+        out.append(effects.Send(conn, msg))
     return out + send_roster(node, peer, now) + offer_config(node, peer)
 
 
@@ -74,9 +80,10 @@
 
 
 def on_heartbeat(node, peer, msg, now):
-    """Update the peer's version, and send it the configuration if newer."""
+    """Apply the peer's news, and send it the configuration if newer."""
     peer.config_version = max(peer.config_version, msg.config_version)
-    return offer_config(node, peer)
+    out = _evacuation.on_peer_news(node, peer, msg)
+    return out + offer_config(node, peer)
 
 
 def on_entries_known(node, peer, msg, now):
--- a/azurepier/dispatch/_placement.py
+++ b/azurepier/dispatch/_placement.py
@@ -40,7 +40,11 @@
 
 def is_open(endpoint):
     """Tell whether the endpoint is connected and accepts tasks."""
-    return endpoint.conn is not None and endpoint.accepting
+    return (
+        endpoint.conn is not None
+        and endpoint.accepting
+        and not endpoint.evacuated
+    )
 
 
 def is_healthy(endpoint):
--- a/azurepier/dispatch/_runs.py
+++ b/azurepier/dispatch/_runs.py
@@ -20,7 +20,7 @@
 # Refusals that are usual when several entries compete for the same capacity.
 # They are counted in the log line of the job's end, since a line for each
 # would make up most of the log.
-_COMMON_REFUSALS = frozenset({'no_room', 'on_trial'})
+_COMMON_REFUSALS = frozenset({'no_room', 'on_trial', 'evacuated'})
 _NOT_RUN_STATUSES = frozenset({Status.REFUSED, Status.LEAVING})
 
 
@@ -232,7 +232,9 @@
     pool_size = sum(
         1
         for each in node.endpoints.values()
-        if each.conn is not None and each.pool == job.queue.pool
+        if each.conn is not None
+        and each.pool == job.queue.pool
+        and not each.evacuated
     )
     distinct_failed = len(set(task.failed_endpoints))
     if task.failures >= job.queue.max_attempts and distinct_failed >= min(
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -183,6 +183,8 @@
     free_mem_mb: int = 0
     free_gpu: int = 0
     accepting: bool = False
+    # Whether the operator has evacuated the failure domain.
+    evacuated: bool = False
     speed: float = 1.0
     failures: int = 0
     # Demand of the other entries (cores), and number of connected entries.
@@ -282,6 +284,10 @@
         factory=collections.Counter
     )
     routing: object = None
+    # Evacuated failure domains, None before the first news of them, and the
+    # time of the latest answer of the store (s).
+    evacuations: object = None
+    store_seen_at: float = 0.0
     draining_since: float | None = None
     # The job being processed; it is rejected if the handler raises.
     current_job: object = None
--- a/azurepier/dispatch/tests/test_mechanisms.py
+++ b/azurepier/dispatch/tests/test_mechanisms.py
@@ -7,15 +7,23 @@
 
 from azurepier.dispatch import _bounds
 from azurepier.dispatch import _drain
+from azurepier.dispatch import _evacuation
 from azurepier.dispatch import _node
+from azurepier.dispatch import _pass
+from azurepier.dispatch import _placement
 from azurepier.dispatch import _progress
+from azurepier.dispatch.tests import test_evacuation as evacuation
 from azurepier.dispatch.tests import test_faults as faults
+from azurepier.kernel import messages
+from azurepier import membership
 from azurepier.runner import _capacity
+from azurepier.runner import _evacuation as runner_evacuation
 from azurepier.runner import _lists
 from azurepier.runner import _node as runner_node
 from azurepier.runner import _orders
 from azurepier.runner import _trial
 
+NewsTests = evacuation.TestNews
 EntryTests = faults.TestEntry
 EndpointProcessTests = faults.TestEndpointProcess
 WorkerTests = faults.TestWorker
@@ -76,6 +84,47 @@
     )
 
 
+def _ignore_evacuation_at_endpoints(patch):
+    patch.setattr(runner_evacuation, 'is_evacuated', lambda node: False)
+
+
+def _accept_before_news(patch):
+    patch.setattr(
+        runner_evacuation,
+        'takes_runs',
+        lambda node: not runner_evacuation.is_evacuated(node),
+    )
+
+
+def _ignore_news_of_peers(patch):
+    patch.setattr(_evacuation, 'on_peer_news', _no_effects)
+
+
+def _omit_news(patch):
+    patch.setattr(
+        _evacuation,
+        'make_heartbeat',
+        lambda node, demand: messages.Beat(config_version=1, demand=demand),
+    )
+
+
+def _accept_older_news(patch):
+    patch.setattr(membership, 'is_newer', lambda *args: True)
+
+
+def _disable_store_reads(patch):
+    patch.setitem(runner_node._TIMERS, 'evacuations', _no_effects)
+
+
+def _count_evacuated_supply(patch):
+    patch.setattr(_placement, 'is_open', lambda each: each.accepting)
+    patch.setattr(runner_evacuation, 'takes_runs', lambda node: True)
+
+
+def _wait_for_evacuated_pool(patch):
+    patch.setattr(_pass, '_reject_if_evacuated', _no_effects)
+
+
 # By mechanism: the function that disables it, and a test that then fails.
 MECHANISMS = {
     'runs of a disconnected entry are stopped': (
@@ -126,6 +175,46 @@
         _stop_unanswered_starts,
         WorkerTests().test_lost_answers,
     ),
+    'endpoint processes refuse orders in an evacuated domain': (
+        _ignore_evacuation_at_endpoints,
+        NewsTests().test_entry_without_store_and_peers,
+    ),
+    'a start is not repeated in an evacuated domain': (
+        _ignore_evacuation_at_endpoints,
+        evacuation.TestEndpointProcess().test_start_is_not_repeated,
+    ),
+    'an endpoint process accepts no order before the first news': (
+        _accept_before_news,
+        NewsTests().test_restarted_endpoint_process_and_entries_without_news,
+    ),
+    'endpoint processes read the store if no entry does': (
+        _disable_store_reads,
+        NewsTests().test_no_entry_reaches_the_store,
+    ),
+    'entries apply the evacuations that others know': (
+        _ignore_news_of_peers,
+        NewsTests().test_entry_learns_from_peers,
+    ),
+    'evacuations are sent on new connections': (
+        _omit_news,
+        NewsTests().test_restarted_entry_without_store,
+    ),
+    'older news is ignored': (
+        _accept_older_news,
+        lambda: NewsTests().test_older_news_is_ignored('entry'),
+    ),
+    'older news is ignored by endpoint processes': (
+        _accept_older_news,
+        lambda: NewsTests().test_older_news_is_ignored('endpoint'),
+    ),
+    'evacuated capacity is not counted': (
+        _count_evacuated_supply,
+        evacuation.TestPlacement().test_supply_shrinks_at_once,
+    ),
+    'jobs that wait for an evacuated pool are rejected': (
+        _wait_for_evacuated_pool,
+        evacuation.TestAllDomains().test_waiting_jobs_are_rejected_at_once,
+    ),
 }
 
 
--- a/azurepier/membership/__init__.py
+++ b/azurepier/membership/__init__.py
@@ -9,6 +9,10 @@
 from azurepier.membership._directory import find_incarnation
 from azurepier.membership._directory import learn
 from azurepier.membership._directory import mark_seen
+from azurepier.membership._evacuation import changed_domains
+from azurepier.membership._evacuation import Evacuations
+from azurepier.membership._evacuation import EvacuationsLoaded
+from azurepier.membership._evacuation import is_newer
 from azurepier.membership._liveness import GIVE_UP_AFTER_S
 from azurepier.membership._liveness import HEARTBEAT_INTERVAL_S
 from azurepier.membership._liveness import is_silent
@@ -27,6 +31,8 @@
     'Directory',
     'ENTRIES_PER_ENDPOINT',
     'EXTRA_PEERS',
+    'Evacuations',
+    'EvacuationsLoaded',
     'GIVE_UP_AFTER_S',
     'GOSSIP_DELAY_S',
     'GOSSIP_REFRESH_S',
@@ -34,12 +40,14 @@
     'LINKS_PER_ENDPOINT',
     'Roster',
     'SILENT_AFTER_S',
+    'changed_domains',
     'choose_entries',
     'due_dials',
     'entries',
     'entries_for_endpoint',
     'evict_stale',
     'find_incarnation',
+    'is_newer',
     'is_silent',
     'learn',
     'mark_seen',
--- a/azurepier/runner/_capacity.py
+++ b/azurepier/runner/_capacity.py
@@ -1,6 +1,7 @@
 """Free capacity and failures of the worker."""
 
 from azurepier.kernel import messages
+from azurepier.runner import _evacuation
 from azurepier.runner import _trial
 
 
@@ -8,6 +9,7 @@
     """Return whether the worker accepts new runs."""
     return (
         node.worker is not None
+        and _evacuation.takes_runs(node)
         and not node.worker.leaving
         and not node.draining
         and node.reachable
--- a/azurepier/runner/_links.py
+++ b/azurepier/runner/_links.py
@@ -6,6 +6,7 @@
 from azurepier import membership
 from azurepier.runner import _capacity
 from azurepier.runner import _ends
+from azurepier.runner import _evacuation
 from azurepier.runner import _reports
 from azurepier.runner import _state
 from azurepier.runner import _stops
@@ -37,7 +38,9 @@
         del node.by_conn[link.conn]
     link.conn = event.conn
     link.last_received_at = now
+    link.store_silent = False
     node.by_conn[event.conn] = link
+    _evacuation.expect_news(node, now)
     node.roster.learn(hello.address, hello.domain, now)
     node.roster.mark_connected(hello.address)
     node.changed = True
@@ -123,9 +126,9 @@
 
 
 def on_heartbeat(node, link, msg, now):
-    """Store the demand that an entry reports."""
+    """Store the demand that an entry reports, and apply its news."""
     link.demand = msg.demand
-    return []
+    return _evacuation.on_heartbeat(node, link, msg)
 
 
 def on_entries_known(node, link, msg, now):
--- a/azurepier/runner/_model.py
+++ b/azurepier/runner/_model.py
@@ -17,6 +17,7 @@
     OTHER_WORKER = 'other_worker'  # another incarnation answered
     INVALID = 'invalid'
     NOT_SENT = 'not_sent'
+    WITHDRAWN = 'evacuated'  # not sent, since the domain was evacuated
     NO_ANSWER = 'no_answer'  # the run may exist or start later
 
 
--- a/azurepier/runner/_node.py
+++ b/azurepier/runner/_node.py
@@ -8,6 +8,7 @@
 from azurepier import membership
 from azurepier.runner import _capacity
 from azurepier.runner import _ends
+from azurepier.runner import _evacuation
 from azurepier.runner import _links
 from azurepier.runner import _lists
 from azurepier.runner import _model
@@ -37,6 +38,7 @@
     for timer in ('heartbeat', 'dial', 'list'):
         node.timers.set(timer, now)
     node.timers.set('no_entry', now + _links.STORE_LOOKUP_DELAY_S)
+    node.timers.set('evacuations', now + _evacuation.CHECK_INTERVAL_S)
     return node
 
 
@@ -64,7 +66,7 @@
     The next list shows the runs of the worker, and on each new connection
     both sides exchange the runs that they know.
     """
-    for key in ('heartbeat', 'dial', 'list', 'no_entry'):
+    for key in ('heartbeat', 'dial', 'list', 'no_entry', 'evacuations'):
         node.timers.set_no_later_than(key, now)
     node.list_pending = False
     for run in node.runs.values():
@@ -88,6 +90,10 @@
         'used_cpu': node.used_cpu,
         'entries': len(node.by_conn),
         'accepting': int(_capacity.accepts(node, now)),
+        'evacuated': int(_evacuation.is_evacuated(node)),
+        'evacuations_revision': (
+            -1 if node.evacuations is None else node.evacuations.revision
+        ),
         'speed': _progress.speed(node, now),
         'counters': dict(node.counters),
     }
@@ -182,6 +188,7 @@
     events.Tick: _on_tick,
     events.MembersSeen: _links.on_members_seen,
     events.Drain: _on_drain,
+    membership.EvacuationsLoaded: _evacuation.on_evacuations_loaded,
     _model.WorkerReported: _on_worker_reported,
     _model.WorkerLeft: _on_worker_left,
     _model.RunsListed: _lists.on_runs_listed,
@@ -207,6 +214,7 @@
     'reconnect_timeout': _links.on_reconnect_timeout,
     'forget': _links.on_forget_timer,
     'stop': _stops.on_stop_timer,
+    'evacuations': _evacuation.on_check_timer,
     'trial': _trial.on_trial_timer,
     'drain_check': _on_drain_check,
     'drain_end': _on_drain_end,
--- a/azurepier/runner/_orders.py
+++ b/azurepier/runner/_orders.py
@@ -10,6 +10,7 @@
 from azurepier.kernel import Status
 from azurepier.runner import _capacity
 from azurepier.runner import _ends
+from azurepier.runner import _evacuation
 from azurepier.runner import _model
 from azurepier.runner import _requests
 from azurepier.runner import _state
@@ -44,6 +45,8 @@
 
 
 def _refusal_reason(node, link, order, now):
+    if _evacuation.is_evacuated(node):
+        return 'evacuated'
     if not _capacity.accepts(node, now) or link.close_at is not None:
         return 'not_accepting'
     if order.task in node.runs or order.task in node.orphaned_runs:
@@ -102,8 +105,8 @@
 
 
 def _on_old_number(node, run, result, now):
-    """Repeat the start with a higher number."""
-    if run.retries >= NUMBER_RETRIES_MAX:
+    """Repeat the start with a higher number, unless that is ruled out."""
+    if run.retries >= NUMBER_RETRIES_MAX or _evacuation.is_evacuated(node):
         return _refuse(node, run, result, now)
     run.retries += 1
     run.number += NUMBER_STEP * run.retries
@@ -147,6 +150,7 @@
     _model.StartResult.OLD_GENERATION: _on_old_generation,
     _model.StartResult.TOO_LATE: _refuse,
     _model.StartResult.NO_ROOM: _refuse,
+    _model.StartResult.WITHDRAWN: _refuse,
     _model.StartResult.UNHEALTHY: _on_unhealthy,
     _model.StartResult.OTHER_WORKER: _refuse,
     _model.StartResult.INVALID: _refuse,
--- a/azurepier/runner/_state.py
+++ b/azurepier/runner/_state.py
@@ -110,6 +110,8 @@
         Time of the last report of the free capacity (s).
     demand : float
         Demand of the entry for this endpoint (cores).
+    store_silent : bool
+        Whether the entry has lost contact to the store.
     close_at : float or None
         Earliest time at which a surplus connection is closed (s).
     runs : dict of int to Run
@@ -128,6 +130,7 @@
     report_due: bool = False
     last_sent_at: float = 0.0
     demand: float = 0.0
+    store_silent: bool = False
     close_at: float | None = None
     runs: dict = attrs.field(factory=dict)
     reported_ends: collections.deque = attrs.field(factory=collections.deque)
@@ -232,6 +235,8 @@
     unhealthy_until : float
         Earliest time of new runs after the worker refused one because it is
         unhealthy (s).
+    evacuations : Evacuations or None
+        None until they are known.
     failed_jobs : set of str
         Jobs whose tasks failed or stalled since the last success.
     failed_at : float
@@ -249,6 +254,7 @@
     links: dict = attrs.field(factory=dict)
     by_conn: dict = attrs.field(factory=dict)
     roster: object = None
+    evacuations: object = None
     worker: object = None
     born: int | None = None
     clock_offset_ms: float | None = None
--- a/azurepier/runner/_trial.py
+++ b/azurepier/runner/_trial.py
@@ -10,6 +10,7 @@
 """
 
 from azurepier.kernel import effects
+from azurepier.runner import _evacuation
 from azurepier.runner import _progress
 
 # A worker is suspect after tasks of this many distinct jobs have failed or
@@ -70,6 +71,11 @@
         trial.offered_to = None
         node.timers.set('trial', now + trial.backoff_s)
         return []
+    if _evacuation.is_evacuated(node):
+        # No entry could use the offer.
+        trial.offered_to = None
+        node.timers.set('trial', now + trial.backoff_s)
+        return []
     links = sorted(node.by_conn.values(), key=lambda link: link.name)
     trial.last_offer_index = (trial.last_offer_index + 1) % len(links)
     trial.offered_to = links[trial.last_offer_index]
--- a/azurepier/store/__init__.py
+++ b/azurepier/store/__init__.py
@@ -7,11 +7,13 @@
 from azurepier.store._interface import LeaseLostError
 from azurepier.store._interface import Page
 from azurepier.store._interface import StoreError
+from azurepier.store._keys import KeySet
 from azurepier.store._register import register
 
 __all__ = [
     'HistoryLostError',
     'Item',
+    'KeySet',
     'LeaseLostError',
     'Page',
     'RETRY_MIN_S',
--- a/azurepier/store/_follow.py
+++ b/azurepier/store/_follow.py
@@ -1,4 +1,4 @@
-"""Watching a key of the store, with retries after faults."""
+"""Watching the keys below a prefix of the store, with retries after faults."""
 
 import asyncio
 
@@ -12,17 +12,19 @@
 RETRY_MAX_S = 0.4
 
 
-async def follow(store, key, on_value, on_fault, rng):
-    """Report the current value of a key and each new one, until cancelled.
+async def follow(store, prefix, on_page, on_fault, rng):
+    """Report the items below a prefix and all their changes, until cancelled.
 
     Parameters
     ----------
     store : object
-        ``read(key) -> Page``, ``watch(prefix, revision, wait_s) -> Page``.
-    key : str
-    on_value : callable
-        Called with each `Item` in the order of revisions, possibly more than
-        once with the same item.
+        ``scan(prefix, stale_ok) -> Page``,
+        ``watch(prefix, revision, wait_s) -> Page``.
+    prefix : str
+    on_page : callable
+        ``on_page(page, complete)`` is called after each successful request.
+        `complete` pages hold all items, the others the changes since the
+        previous page. The same item may come more than once.
     on_fault : callable
         Called with the reason of each failure, and with None after each
         successful request.
@@ -34,9 +36,9 @@
     while True:
         try:
             if revision is None:
-                page = await store.read(key)
+                page = await store.scan(prefix, stale_ok=False)
             else:
-                page = await store.watch(key, revision, WATCH_WAIT_S)
+                page = await store.watch(prefix, revision, WATCH_WAIT_S)
         except _interface.HistoryLostError as exc:
             revision = None
             history_losses += 1
@@ -53,7 +55,5 @@
         if revision is not None:
             history_losses = 0
         on_fault(None)
-        for item in page.items:
-            if item.key == key:
-                on_value(item)
+        on_page(page, revision is None)
         revision = max(page.revision, revision or 0)
--- a/azurepier/store/_interface.py
+++ b/azurepier/store/_interface.py
@@ -21,7 +21,8 @@
 class Item:
     """Key with its value and the revision of its last change.
 
-    `value` is None if the key was removed.
+    `value` is None if the key was removed, and empty if the value can't be
+    decoded.
     """
 
     key: str
@@ -33,7 +34,8 @@
 class Page:
     """Items at a revision of the store.
 
-    `malformed` is the number of items that can't be decoded and are omitted.
+    `malformed` is the number of items that can't be decoded. They are omitted
+    unless their key and revision are valid.
     """
 
     items: tuple
--- a/azurepier/testing/_pool.py
+++ b/azurepier/testing/_pool.py
@@ -7,6 +7,7 @@
 from azurepier import dispatch
 from azurepier.kernel import effects
 from azurepier.kernel import events
+from azurepier import membership
 from azurepier import runner
 from azurepier.testing import _driver
 from azurepier.testing import _worker
@@ -15,6 +16,8 @@
 # Delay before callers resubmit after they were disconnected (s).
 RESUBMIT_DELAY_S = 1.3
 GRACE_S = 6.0
+# Interval at which entries hear from the store (s).
+STORE_WATCH_S = 1.5
 # One-way delay on the same machine (s).
 LOCAL_DELAY_S = 0.0005
 
@@ -81,6 +84,10 @@
         Calls whose answer contradicts what the workers have run.
     incarnation_count : int
         Number of processes started so far, including restarts.
+    evacuations : Evacuations
+        Evacuated failure domains according to the store.
+    store_cut : set of str
+        Names of the processes that are cut off from the store.
     """
 
     driver: _driver.Driver
@@ -95,6 +102,8 @@
     wrong_answers: list = attrs.field(factory=list)
     last_req: int = 0
     incarnation_count: int = 0
+    evacuations: object = membership.Evacuations(1, frozenset())
+    store_cut: set = attrs.field(factory=set)
     uneven: float = 0.0
     domains: int = 1
 
@@ -123,10 +132,32 @@
         )
         self.entries[name] = process
         self.driver.add(process)
+        self.read_evacuations(process)
         routing = dispatch.Routing(1, {('h', '/q/'): queue()})
         self.driver.feed(process, dispatch.RoutingLoaded(routing))
         return process
 
+    def read_evacuations(self, process):
+        """Pass the evacuations to a process unless it is cut off."""
+        if process.name not in self.store_cut:
+            event = membership.EvacuationsLoaded(self.evacuations)
+            self.driver.feed(process, event)
+
+    def evacuate(self, *domains):
+        """Evacuate these failure domains and take back all others."""
+        self.evacuations = membership.Evacuations(
+            self.evacuations.revision + 1, frozenset(domains)
+        )
+        for process in self.entries.values():
+            self.read_evacuations(process)
+
+    def watch_store(self):
+        """Let the entries hear from the store, now and periodically."""
+        for process in self.entries.values():
+            if not process.frozen:
+                self.read_evacuations(process)
+        self.driver.after(STORE_WATCH_S, self.watch_store)
+
     def start_endpoint(self, name):
         """Start or restart an endpoint process."""
         self.incarnation_count += 1
@@ -315,9 +346,13 @@
     driver.effect_handlers[runner.ListRuns] = lambda _, process, effect: (
         process.worker.list(process, effect)
     )
+    driver.effect_handlers[runner.ReadEvacuations] = (
+        lambda _, process, effect: fleet.read_evacuations(process)
+    )
     driver.effect_handlers[effects.Decode] = lambda _, process, effect: None
     for index in range(entries):
         fleet.start_entry(f'e{index}')
+    fleet.watch_store()
     for index, speed in enumerate(speeds):
         fleet.add_worker(f'w{index}', cpus[index], speed)
         fleet.start_endpoint(f'w{index}')
--- a/azurepier/testing/_worker.py
+++ b/azurepier/testing/_worker.py
@@ -38,17 +38,21 @@
         ``(time, task, workers)`` where two runs of a task overlapped.
     started, done : dict of str to int
         Numbers of started and of succeeded runs by task.
+    starts : list of tuple
+        ``(time, worker)`` of each start.
     """
 
     running: dict = attrs.field(factory=dict)
     overlaps: list = attrs.field(factory=list)
     started: dict = attrs.field(factory=dict)
     done: dict = attrs.field(factory=dict)
+    starts: list = attrs.field(factory=list)
 
     def begin(self, now, task, worker, number):
         """Record the start of a run."""
         runs = self.running.setdefault(task, set())
         runs.add((worker, number))
+        self.starts.append((now, worker))
         self.started[task] = self.started.get(task, 0) + 1
         if len(runs) > 1:
             self.overlaps.append((now, task, sorted(runs)))
--- a/azurepier/wire/_codec.py
+++ b/azurepier/wire/_codec.py
@@ -66,6 +66,7 @@
         'nonce',
         'proof',
     },
+    ttypes.Beat: {'evacuations_revision', 'evacuated', 'store_silent_ms'},
 }
 
 _pack_header = struct.Struct('>IB').pack
--- a/azurepier/wire/gen/messages/ttypes.py
+++ b/azurepier/wire/gen/messages/ttypes.py
@@ -3658,18 +3658,27 @@
     Attributes:
      - config_version
      - demand
+     - evacuations_revision
+     - evacuated
+     - store_silent_ms
 
     """
 
     __slots__ = (
         'config_version',
         'demand',
+        'evacuations_revision',
+        'evacuated',
+        'store_silent_ms',
     )
 
 
-    def __init__(self, config_version=None, demand=None,):
+    def __init__(self, config_version=None, demand=None, evacuations_revision=None, evacuated=None, store_silent_ms=None,):
         self.config_version = config_version
         self.demand = demand
+        self.evacuations_revision = evacuations_revision
+        self.evacuated = evacuated
+        self.store_silent_ms = store_silent_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3690,6 +3699,26 @@
                     self.demand = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.evacuations_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.evacuated = []
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.evacuated.append(_elem117)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.store_silent_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3708,6 +3737,21 @@
             oprot.writeFieldBegin('demand', TType.DOUBLE, 3)
             oprot.writeDouble(self.demand)
             oprot.writeFieldEnd()
+        if self.evacuations_revision is not None:
+            oprot.writeFieldBegin('evacuations_revision', TType.I64, 4)
+            oprot.writeI64(self.evacuations_revision)
+            oprot.writeFieldEnd()
+        if self.evacuated is not None:
+            oprot.writeFieldBegin('evacuated', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.evacuated))
+            for iter118 in self.evacuated:
+                oprot.writeString(iter118.encode('utf-8') if sys.version_info[0] == 2 else iter118)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.store_silent_ms is not None:
+            oprot.writeFieldBegin('store_silent_ms', TType.I32, 6)
+            oprot.writeI32(self.store_silent_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3854,11 +3898,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = KnownEntry()
-                        _elem117.read(iprot)
-                        self.entries.append(_elem117)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = KnownEntry()
+                        _elem124.read(iprot)
+                        self.entries.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3875,8 +3919,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter118 in self.entries:
-                iter118.write(oprot)
+            for iter125 in self.entries:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4040,11 +4084,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.steps = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = RunStep()
-                        _elem124.read(iprot)
-                        self.steps.append(_elem124)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = RunStep()
+                        _elem131.read(iprot)
+                        self.steps.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4067,8 +4111,8 @@
         if self.steps is not None:
             oprot.writeFieldBegin('steps', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.steps))
-            for iter125 in self.steps:
-                iter125.write(oprot)
+            for iter132 in self.steps:
+                iter132.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.state is not None:
@@ -4374,6 +4418,9 @@
     (1, TType.I64, 'config_version', None, None, ),  # 1
     None,  # 2
     (3, TType.DOUBLE, 'demand', None, None, ),  # 3
+    (4, TType.I64, 'evacuations_revision', None, None, ),  # 4
+    (5, TType.LIST, 'evacuated', (TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.I32, 'store_silent_ms', None, None, ),  # 6
 )
 all_structs.append(KnownEntry)
 KnownEntry.thrift_spec = (
--- a/tests/adapter/fakes.py
+++ b/tests/adapter/fakes.py
@@ -57,12 +57,9 @@
         self.changes.append(item)
         self._notify_watchers()
 
-    def end_lease(self, lease):
-        """Remove a lease and its keys."""
-        self.leases.pop(lease, None)
-        for key in [
-            k for k, v in self.items.items() if v['lease_id'] == lease
-        ]:
+    def remove(self, *keys):
+        """Remove keys, as the operator or a client would."""
+        for key in keys:
             del self.items[key]
             self.revision += 1
             self.changes.append(
@@ -70,6 +67,13 @@
             )
         self._notify_watchers()
 
+    def end_lease(self, lease):
+        """Remove a lease and its keys."""
+        self.leases.pop(lease, None)
+        self.remove(
+            *[k for k, v in self.items.items() if v['lease_id'] == lease]
+        )
+
     def discard_history(self):
         """Discard the history of changes."""
         self.discarded_revision = self.revision
--- a/tests/adapter/test_programs.py
+++ b/tests/adapter/test_programs.py
@@ -214,6 +214,37 @@
                 assert status == 200
             assert sorted(durations_s)[4] < 0.03
 
+    @run_in_loop
+    async def test_evacuated_domain(self, tmp_path):
+        """Guards against an evacuation that only works in the simulation."""
+        async with running_fleet(tmp_path) as fleet:
+            key = _store.EVACUATIONS_PREFIX + 'a'
+            fleet.store.put(key, b'{}')
+            async with asyncio.timeout(TIMEOUT_S):
+                while True:
+                    status, answer = await fleet.submit(2, '1' * 16)
+                    if status == 503:
+                        break
+            assert answer == {'error': 'evacuated'}
+            fleet.worker.started.clear()
+            # Processes that start in an evacuated domain start nothing.
+            for number in (3, 4):
+                fleet.processes[number].kill()
+                fleet.processes[number].wait()
+            fleet.start_process('entry', 3)
+            fleet.start_process('endpoint', 4)
+            await fleet.until_ready(3)
+            status, _ = await fleet.submit(3, '2' * 16)
+            assert status == 503
+            assert not fleet.worker.started
+            fleet.store.remove(key)
+            async with asyncio.timeout(TIMEOUT_S):
+                while status != 200:
+                    status, _ = await fleet.submit(3, '3' * 16)
+            events = [line['event'] for line in fleet.log_events(2)]
+            assert events.count('domain_evacuated') == 1
+            assert events.count('domain_restored') == 1
+
     @run_in_loop
     async def test_caller_disconnects(self, tmp_path):
         """Guards against runs that outlive the connection of their caller."""
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -52,11 +52,17 @@
 async def following(client):
     """Follow the configuration; yield the values and faults seen."""
     values, faults = [], []
+
+    def on_page(page, complete):
+        values.extend(
+            item.value for item in page.items if item.key == _store.CONFIG_KEY
+        )
+
     task = asyncio.create_task(
         store.follow(
             client,
-            _store.CONFIG_KEY,
-            lambda item: values.append(item.value),
+            _store.OPERATOR_PREFIX,
+            on_page,
             faults.append,
             random.Random(1),
         )
--- a/thrift/azurepier.thrift
+++ b/thrift/azurepier.thrift
@@ -260,6 +260,10 @@
 struct Beat {
   1: i64 config_version
   3: double demand          // cores that an entry wants of the receiver
+  // Set after a change and on a new connection; older versions ignore them.
+  4: i64 evacuations_revision
+  5: list<string> evacuated // failure domains that take no new runs
+  6: i32 store_silent_ms    // set while the sender gets nothing of the store
 }
 
 struct KnownEntry {
