Accept jobs during a drain by the time that is left

Callers kept their connections for up to 4.5 s and a job was accepted only up to 0.6 of the time left.

Change: a job is accepted if its declared run time fits into the time left. Once new connections go to other entries (2.2 s), idle connections of callers are closed, as HTTP servers do on shutdown; the others are closed after their response.

Ruled out: passing the job on to another entry (the caller's connection ends with this process all the same), and answering 502 so that the caller sends again (the job has not run, which 503 says).

--- a/azurepier/dispatch/__init__.py
+++ b/azurepier/dispatch/__init__.py
@@ -8,6 +8,7 @@
 from azurepier import _lazy
 
 _SOURCES = {
+    'CloseIdleCallers': 'azurepier.dispatch._model:CloseIdleCallers',
     'Finished': 'azurepier.dispatch._model:Finished',
     'JobRequest': 'azurepier.dispatch._model:JobRequest',
     'Options': 'azurepier.dispatch._state:Options',
@@ -32,6 +33,7 @@
 __getattr__ = _lazy.loader(__name__, _SOURCES)
 
 __all__ = [
+    'CloseIdleCallers',
     'Finished',
     'JobRequest',
     'Options',
--- a/azurepier/dispatch/_drain.py
+++ b/azurepier/dispatch/_drain.py
@@ -1,4 +1,11 @@
-"""Graceful shutdown of an entry."""
+"""Graceful shutdown of an entry.
+
+Load pattern: entries are stopped one after another under full load. Callers
+keep their connections, some of them for seconds, and a job that is refused
+may not come back. A job is therefore accepted if its declared run time fits
+into the time left, and idle connections are closed once new ones go to other
+entries.
+"""
 
 from azurepier.dispatch import _bounds
 from azurepier.dispatch import _model
@@ -11,9 +18,6 @@
 DRAIN_MIN_S = 2.2
 # Maximum time for which open connections of callers delay the exit (s).
 DRAIN_CONNECTIONS_MAX_S = 4.5
-# A draining process accepts a job only if its declared run time is at most
-# this share of the time left.
-DRAIN_WORK_SHARE = 0.6
 # Unfinished jobs are rejected this long before the end of the grace time (s).
 DRAIN_MARGIN_S = 0.7
 RETRY_SOON_S = 1
@@ -25,7 +29,7 @@
         return 'draining', RETRY_SOON_S
     if node.draining:
         time_left_s = node.drain_end_at - now
-        if job.work_s > time_left_s * DRAIN_WORK_SHARE:
+        if job.work_s > time_left_s:
             return 'draining', RETRY_SOON_S
     return None
 
@@ -49,6 +53,8 @@
         node.stopped = True
         return [effects.Stopped()]
     node.timers.set('drain_check', now + _bounds.HEARTBEAT_S)
+    if elapsed_s > DRAIN_MIN_S:
+        return [_model.CloseIdleCallers()]
     return []
 
 
--- a/azurepier/dispatch/_model.py
+++ b/azurepier/dispatch/_model.py
@@ -89,6 +89,11 @@
     job: JobRequest
 
 
+@attrs.frozen
+class CloseIdleCallers:
+    """Close the connections of callers without a request in progress."""
+
+
 @attrs.frozen
 class Finished:
     """Answer for a job that has ended.
