Let requests wait for the first configuration

Change: a request that arrives before the first configuration waits for it, 1 s at most. Its objective counts from its arrival.

Ruled out: a poll for each waiting request (one event serves all); waiting until the request's own limit, since a store that is away for longer tells nothing about its return.

--- a/azurepier/dispatch/__init__.py
+++ b/azurepier/dispatch/__init__.py
@@ -10,6 +10,7 @@
 _SOURCES = {
     'CloseIdleCallers': 'azurepier.dispatch._model:CloseIdleCallers',
     'Finished': 'azurepier.dispatch._model:Finished',
+    'FirstConfigApplied': 'azurepier.dispatch._model:FirstConfigApplied',
     'JobRequest': 'azurepier.dispatch._model:JobRequest',
     'Options': 'azurepier.dispatch._state:Options',
     'Queue': 'azurepier.dispatch._model:Queue',
@@ -35,6 +36,7 @@
 __all__ = [
     'CloseIdleCallers',
     'Finished',
+    'FirstConfigApplied',
     'JobRequest',
     'Options',
     'Queue',
--- a/azurepier/dispatch/_callers.py
+++ b/azurepier/dispatch/_callers.py
@@ -32,8 +32,14 @@
         return [effects.Log('job_joined', {'job_id': request.id})]
     work_s = request.declared_ms / MS_PER_S
     objective_s = queue.stretch * work_s + queue.margin_s
+    received_at = now - event.waited_s
     job = _state.Job(
-        {event.req}, queue, request, now, work_s, now + objective_s
+        {event.req},
+        queue,
+        request,
+        received_at,
+        work_s,
+        received_at + objective_s,
     )
     job.waiting = [
         _state.Task(job, index, f'{request.id}.0.0.{index}')
--- a/azurepier/dispatch/_model.py
+++ b/azurepier/dispatch/_model.py
@@ -82,11 +82,20 @@
 
 @attrs.frozen
 class Submit:
-    """A caller submits a job and waits for its answer."""
+    """A caller submits a job and waits for its answer.
+
+    `waited_s` is the time since the request arrived (s).
+    """
 
     req: int
     queue: Queue
     job: JobRequest
+    waited_s: float = 0.0
+
+
+@attrs.frozen
+class FirstConfigApplied:
+    """The first configuration of this process is in force."""
 
 
 @attrs.frozen
--- a/azurepier/dispatch/_peers.py
+++ b/azurepier/dispatch/_peers.py
@@ -9,6 +9,7 @@
 
 from azurepier.dispatch import _bounds
 from azurepier.dispatch import _evacuation
+from azurepier.dispatch import _model
 from azurepier.dispatch import _state
 from azurepier.kernel import effects
 from azurepier.kernel import messages
@@ -186,9 +187,10 @@
     routing = event.routing
     if routing.version <= _state.config_version(node):
         return []
+    out = [] if node.routing is not None else [_model.FirstConfigApplied()]
     node.routing = routing
     node.dirty = True
-    out = [
+    out += [
         effects.Log(
             'config_applied',
             {'version': routing.version, 'queues': len(routing.queues)},
--- a/azurepier/dispatch/tests/test_faults.py
+++ b/azurepier/dispatch/tests/test_faults.py
@@ -3,6 +3,7 @@
 import random
 
 import attrs
+import pytest
 
 from azurepier import dispatch
 from azurepier.dispatch import bounds
@@ -224,6 +225,37 @@
             dispatch.Verdict.NOT_RUN
         ]
 
+    def test_drain_accepts_jobs_that_can_end(self):
+        """Guards against refusals of jobs for which there is time."""
+        fleet = testing.make_pool()
+        process = fleet.entries['e0']
+        fleet.driver.feed(process, events.Drain())
+        process.node.callers_connected = lambda: 1
+        fleet.run_for(1.0)
+        job = dispatch.JobRequest(
+            'f' * 16, 'job-0', 2, 4000, dispatch.Resources(1000)
+        )
+        fleet.work_by_spec['job-0'] = (4.0, 1000, False)
+        event = dispatch.Submit(999, testing.queue(), job)
+        fleet.driver.feed(process, event)
+        fleet.run_for(4.2)
+        _, body = fleet.driver.answers[('e0', 999)]
+        assert body == dispatch.Finished(True)
+
+    def test_time_before_submission_counts(self):
+        """Guards against objectives that start after the wait at the entry."""
+        fleet = testing.make_pool(entries=1)
+        process = fleet.entries['e0']
+        job = dispatch.JobRequest(
+            'f' * 16, 'job-0', 1, 1000, dispatch.Resources(1000)
+        )
+        fleet.work_by_spec['job-0'] = (1.0, 1000, False)
+        event = dispatch.Submit(999, testing.queue(), job, waited_s=0.4)
+        fleet.driver.feed(process, event)
+        job = process.node.jobs['f' * 16]
+        assert fleet.driver.now - job.received_at == pytest.approx(0.4)
+        assert job.objective_at == pytest.approx(job.received_at + 1.66)
+
     def test_drain_rejects_jobs_longer_than_the_time_left(self):
         """Guards against accepting jobs that can't be completed."""
         fleet = testing.make_pool()
--- a/azurepier/testing/_pool.py
+++ b/azurepier/testing/_pool.py
@@ -349,9 +349,8 @@
     driver.effect_handlers[runner.ReadEvacuations] = (
         lambda _, process, effect: fleet.read_evacuations(process)
     )
-    driver.effect_handlers[dispatch.CloseIdleCallers] = (
-        lambda _, process, effect: None
-    )
+    for ignored in (dispatch.CloseIdleCallers, dispatch.FirstConfigApplied):
+        driver.effect_handlers[ignored] = lambda _, process, effect: None
     driver.effect_handlers[effects.Decode] = lambda _, process, effect: None
     for index in range(entries):
         fleet.start_entry(f'e{index}')
--- a/tests/adapter/test_programs.py
+++ b/tests/adapter/test_programs.py
@@ -363,6 +363,54 @@
             assert events[-1] == 'stopped'
             assert 'job_ended' in events
 
+    @run_in_loop
+    async def test_stopped_entry_closes_idle_connections(self, tmp_path):
+        """Guards against callers that stay on an entry until it ends."""
+        async with running_fleet(tmp_path) as fleet:
+            reader, writer = await asyncio.open_connection('127.77.0.2', 17301)
+            writer.write(b'GET /q/ HTTP/1.1\r\nHost: h\r\n\r\n')
+            assert (await reader.readline()).startswith(b'HTTP/1.1 200')
+            while await reader.readline() != b'\r\n':
+                pass
+            await reader.readexactly(len(b'{"pending":0}'))
+            fleet.processes[2].send_signal(signal.SIGTERM)
+            stopped_at = time.monotonic()
+            async with asyncio.timeout(6.0):
+                assert await reader.read() == b''
+                # New connections reach it for two seconds more, and it keeps
+                # open ones for so long.
+                assert time.monotonic() - stopped_at > 2.0
+                while fleet.processes[2].poll() is None:
+                    await asyncio.sleep(0.02)
+            assert time.monotonic() - stopped_at < 3.5
+            writer.close()
+
+    @run_in_loop
+    async def test_request_before_the_first_configuration(self, tmp_path):
+        """Guards against refusals while the store is busy after a loss."""
+        async with running_fleet(tmp_path) as fleet:
+            fleet.store.fault = 'unavailable'
+            for number in (2, 3):
+                fleet.processes[number].kill()
+                fleet.processes[number].wait()
+            fleet.start_process('entry', 2)
+            async with asyncio.timeout(TIMEOUT_S):
+                while True:
+                    with contextlib.suppress(OSError):
+                        _, writer = await asyncio.open_connection(
+                            '127.77.0.2', 17301
+                        )
+                        writer.close()
+                        break
+                    await asyncio.sleep(0.05)
+            status, answer = await fleet.submit(2, '1' * 16)
+            assert (status, answer) == (503, {'error': 'no configuration'})
+            call = asyncio.create_task(fleet.submit(2, '2' * 16))
+            await asyncio.sleep(0.3)
+            assert not call.done()
+            fleet.store.fault = ''
+            assert await call == (200, {'state': 'succeeded'})
+
     @run_in_loop
     async def test_settings_and_metrics(self, tmp_path):
         """Guards against a SIGHUP that ends a process, and missing metrics."""
