Refuse no jobs before the supply is known after a loss

Change: while a pool's endpoints are expected to return (within 1 s without any, and for 0.4 s after the first) no job is refused for being late; late jobs that have not started go last. "Evacuated" is said only after the warm-up. The supply of a pool is a module of its own (dispatch/_supply.py).

--- a/azurepier/dispatch/_callers.py
+++ b/azurepier/dispatch/_callers.py
@@ -8,6 +8,7 @@
 from azurepier.dispatch import _reserve
 from azurepier.dispatch import _runs
 from azurepier.dispatch import _state
+from azurepier.dispatch import _supply
 from azurepier.kernel import effects
 
 MS_PER_S = 1000
@@ -91,7 +92,8 @@
     ]
     if pool_endpoints and not fitting:
         return 'impossible', IMPOSSIBLE_RETRY_S
-    if fitting and all(each.evacuated for each in fitting):
+    all_evacuated = fitting and all(each.evacuated for each in fitting)
+    if all_evacuated and not _supply.is_warming_up(node, now):
         return 'evacuated', _evacuation.RETRY_EVACUATED_S
     return None
 
--- a/azurepier/dispatch/_order.py
+++ b/azurepier/dispatch/_order.py
@@ -58,16 +58,16 @@
     return len(job.waiting) * job.work_s * job.request.resources.cpu / 1000
 
 
-def sort_jobs(jobs, max_speed, now):
+def sort_jobs(jobs, max_speed, now, late_last=False):
     """Return jobs in the order in which they are served.
 
     Started jobs that can't be answered in time any more come last; they are
-    still completed.
+    still completed. With `late_last`, so do those that have not started.
     """
 
     def key(job):
         start_at = latest_start_at(job, max_speed)
-        late = job.has_started and start_at + TOLERANCE_S < now
+        late = (job.has_started or late_last) and start_at + TOLERANCE_S < now
         return late, not job.has_started, start_at, job.request.id
 
     return sorted(jobs, key=key)
--- a/azurepier/dispatch/_pass.py
+++ b/azurepier/dispatch/_pass.py
@@ -1,25 +1,16 @@
 """Dispatch pass over the waiting jobs: starts and rejections."""
 
-import attrs
-
 from azurepier.dispatch import _bounds
-from azurepier.dispatch import _demand
 from azurepier.dispatch import _evacuation
 from azurepier.dispatch import _model
 from azurepier.dispatch import _order
 from azurepier.dispatch import _placement
 from azurepier.dispatch import _reserve
 from azurepier.dispatch import _runs
+from azurepier.dispatch import _supply
 from azurepier.kernel import effects
 from azurepier.kernel import Verdict
 
-# Warm-up after the first endpoint has connected, during which the total
-# capacity is unknown (s). After a power failure eleven endpoint processes
-# connect within 0.4 s.
-WARM_UP_S = 0.4
-# Started jobs are rejected once their pool has had no open endpoint for this
-# time (s).
-NO_ENDPOINT_TIMEOUT_S = 1.0
 MS_PER_S = 1000
 RETRY_SOON_S = 1
 
@@ -44,8 +35,11 @@
         for endpoint in node.by_conn.values()
         if endpoint.pool == pool and _placement.is_open(endpoint)
     ]
-    supply = _pool_supply(node, pool, open_endpoints, now)
-    ordered = _order.sort_jobs(jobs, supply.max_speed, now)
+    supply = _supply.pool_supply(node, pool, open_endpoints, now)
+    supply_expected = _supply.is_expected(
+        node, pool, bool(open_endpoints), now
+    )
+    ordered = _order.sort_jobs(jobs, supply.max_speed, now, supply_expected)
     for job in ordered:
         node.current_job = job
         _start_tasks(node, open_endpoints, job, now)
@@ -54,7 +48,10 @@
     out = _reject_without_endpoint(
         node, pool, waiting, bool(open_endpoints), now
     )
-    for job, wait_s, slack_s in _order.find_unservable(waiting, supply, now):
+    unservable = []
+    if not supply_expected:
+        unservable = _order.find_unservable(waiting, supply, now)
+    for job, wait_s, slack_s in unservable:
         if _placement.has_spare_capacity(open_endpoints, job):
             # Only slow endpoints are free. A late answer is better than a
             # rejection.
@@ -118,7 +115,7 @@
         return []
     since = node.unavailable_since.setdefault(pool, now)
     out = _reject_if_evacuated(node, pool, waiting, now)
-    if now - since < NO_ENDPOINT_TIMEOUT_S:
+    if now - since < _supply.NO_ENDPOINT_TIMEOUT_S:
         return out
     for job in list(waiting):
         if job.has_started and not job.running:
@@ -132,12 +129,7 @@
 
 def _reject_if_evacuated(node, pool, waiting, now):
     """Reject the jobs that have not started if the pool is evacuated."""
-    endpoints = [
-        endpoint
-        for endpoint in node.by_conn.values()
-        if endpoint.pool == pool and endpoint.cpu
-    ]
-    if not endpoints or not all(each.evacuated for each in endpoints):
+    if not _supply.is_pool_evacuated(node, pool, now):
         return []
     out = []
     for job in [each for each in waiting if not each.has_started]:
@@ -145,24 +137,3 @@
         rejected = _model.Rejected('evacuated', _evacuation.RETRY_EVACUATED_S)
         out += _runs.finish_job(node, job, rejected, now)
     return out
-
-
-def _pool_supply(node, pool, open_endpoints, now):
-    if not open_endpoints:
-        return _order.UNKNOWN_SUPPLY
-    # Unhealthy endpoints only get an occasional trial task.
-    open_endpoints = [
-        each for each in open_endpoints if _placement.is_healthy(each)
-    ] or open_endpoints
-    max_speed = max(endpoint.speed for endpoint in open_endpoints)
-    if now - node.warm_up_since < WARM_UP_S:
-        return attrs.evolve(_order.UNKNOWN_SUPPLY, max_speed=max_speed)
-    own_demand = _demand.demand_per_endpoint(node)
-    cores = sum(
-        endpoint.cpu
-        / 1000
-        * endpoint.speed
-        * _demand.share(endpoint, own_demand)
-        for endpoint in open_endpoints
-    )
-    return _order.Supply(max_speed, cores)
--- a/azurepier/dispatch/tests/test_load.py
+++ b/azurepier/dispatch/tests/test_load.py
@@ -14,6 +14,7 @@
 from azurepier.dispatch import _order
 from azurepier.dispatch import _placement
 from azurepier.dispatch import _progress
+from azurepier.dispatch import _supply
 from azurepier.dispatch import bounds
 from azurepier import experiment as experiments
 from azurepier.experiment import Burst
@@ -334,3 +335,94 @@
         assert sum(node.counters['jobs'] for node in nodes) == 400
         # No worker has become slow.
         assert moved == 0
+
+
+class TestReturnAfterLoss:
+    """All processes are killed under load; the entries are back first."""
+
+    ENTRY_LEAD_S = 0.3
+
+    def play(self, seed):
+        """Return the calls sent before the endpoint processes are back."""
+        fleet = testing.make_pool(
+            seed=seed, entries=2, speeds=(1.0,) * 6, cpu=16000
+        )
+        for name in list(fleet.endpoints):
+            fleet.driver.kill(fleet.endpoints[name])
+        for name in list(fleet.entries):
+            fleet.kill_entry(name)
+        fleet.run_for(1.0)
+        for name in list(fleet.entries):
+            fleet.start_entry(name)
+        calls = []
+        for _ in range(round(self.ENTRY_LEAD_S / 0.02)):
+            calls.append(fleet.submit(0.05, count=4, cpu=4000))
+            fleet.run_for(0.02)
+        for name in list(fleet.endpoints):
+            process = fleet.start_endpoint(name)
+            report = fleet.workers[name].report()
+            fleet.driver.feed(process, runner.WorkerReported(report))
+        fleet.run_for(3.0)
+        return calls
+
+    @pytest.mark.parametrize('seed', [1, 2])
+    def test_late_jobs_wait_for_the_workers(self, monkeypatch, seed):
+        """Guards against refusals while idle workers are about to return."""
+        finished = dispatch.Finished(True)
+        calls = self.play(seed)
+        assert all(call.body == finished for call in calls)
+        monkeypatch.setattr(_supply, 'is_expected', lambda *_: False)
+        calls = self.play(seed)
+        refused = [call for call in calls if call.body != finished]
+        assert len(refused) >= len(calls) / 4
+
+    def test_jobs_in_time_go_first(self, monkeypatch):
+        """Guards against jobs that get late behind those that are late.
+
+        Only one worker is back for the first moments.
+        """
+
+        def count_in_time():
+            fleet = testing.make_pool(entries=1, speeds=(1.0,), cpu=4000)
+            fleet.driver.kill(fleet.endpoints['w0'])
+            fleet.run_for(0.1)
+            for _ in range(4):
+                fleet.submit(0.05, count=4, entry='e0')
+            fleet.run_for(0.3)
+            calls = [fleet.submit(0.05, count=2) for _ in range(2)]
+            process = fleet.start_endpoint('w0')
+            report = fleet.workers['w0'].report()
+            fleet.driver.feed(process, runner.WorkerReported(report))
+            fleet.run_for(3.0)
+            return sum(
+                call.answered_at - call.sent_at < 0.14 for call in calls
+            )
+
+        assert count_in_time() == 2
+        sort_jobs = _order.sort_jobs
+        monkeypatch.setattr(
+            _order,
+            'sort_jobs',
+            lambda jobs, speed, now, _: sort_jobs(jobs, speed, now),
+        )
+        assert count_in_time() == 0
+
+    def test_evacuated_only_after_the_warm_up(self):
+        """Guards against "evacuated" from the first endpoint processes."""
+        fleet = testing.make_pool(entries=1, speeds=(1.0,) * 2, domains=2)
+        fleet.evacuate('d0')
+        fleet.kill_entry('e0')
+        for name in ('w0', 'w1'):
+            fleet.driver.kill(fleet.endpoints[name])
+        fleet.run_for(1.0)
+        fleet.start_entry('e0')
+        for name in ('w0', 'w1'):
+            process = fleet.start_endpoint(name)
+            report = fleet.workers[name].report()
+            fleet.driver.feed(process, runner.WorkerReported(report))
+            if name == 'w0':
+                fleet.run_for(0.2)
+                call = fleet.submit(0.3, entry='e0')
+                fleet.run_for(0.05)
+        fleet.run_for(2.0)
+        assert call.body == dispatch.Finished(True)
--- a/azurepier/experiment/_policies.py
+++ b/azurepier/experiment/_policies.py
@@ -58,7 +58,7 @@
     return sorted(jobs, key=lambda job: job.received_at)
 
 
-def _sort_by_latest_start(jobs, max_speed, now):
+def _sort_by_latest_start(jobs, max_speed, *_):
     return sorted(jobs, key=lambda job: _order.latest_start_at(job, max_speed))
 
 
