Reject numbers and names that no message can carry

Cause (found while looking for messages that take a process down): a job with estimate_ms 10^12, which any caller may send, was accepted; encoding its order failed with 'int out of range', and the entry then closed the connections of all its endpoint processes, so that the runs of all callers were disturbed, again each time the job was sent. A worker's report with such a capacity did the same to its endpoint process, and a row of another type in a worker's list raised with each list. A configuration whose service is an object raised in each pass.

Change: numbers are checked against what the messages hold, names and ids against what task names are built from. A malformed job is answered with 400, a malformed configuration or report is refused as a whole.

--- a/tests/adapter/test_decode.py
+++ b/tests/adapter/test_decode.py
@@ -127,6 +127,25 @@
         with pytest.raises(InvalidInputError):
             _jobs.decode_job('id', body)
 
+    @pytest.mark.parametrize(
+        'name', ['cpu', 'mem_mb', 'gpu', 'estimate_ms', 'anti_affinity']
+    )
+    @pytest.mark.parametrize('value', [2**31, 10**12, 1e300])
+    def test_number_out_of_range(self, name, value):
+        """Guards against orders that can't be encoded.
+
+        The entry closed the connections of all its endpoints when it failed
+        to encode a message, so that one job disturbed those of all callers.
+        """
+        with pytest.raises(InvalidInputError, match=name):
+            _jobs.decode_job('id', job_body(step={name: value}))
+
+    @pytest.mark.parametrize('job_id', ['', 'a.0', 'a/b', 'x' * 65, 'ü'])
+    def test_job_id(self, job_id):
+        """Guards against ids from which no task names can be built."""
+        with pytest.raises(InvalidInputError, match='job id'):
+            _jobs.decode_job(job_id, job_body())
+
 
 def config_body(version=1, **fields):
     route = {
@@ -171,6 +190,31 @@
         with pytest.raises(InvalidInputError):
             _jobs.decode_routing(body)
 
+    @pytest.mark.parametrize(
+        'fields',
+        [
+            {'service': {}},
+            {'service': 7},
+            {'name': None},
+            {'hostname': ['h']},
+            {'path_prefix': 1},
+            {'priority': 'high'},
+            {'max_attempts': [2]},
+            {'stretch': -1},
+            {'target_latency_ms': '60'},
+        ],
+    )
+    def test_malformed_field(self, fields):
+        """Guards against values that raise in each pass over the jobs."""
+        with pytest.raises(InvalidInputError):
+            _jobs.decode_routing(config_body(**fields))
+
+    @pytest.mark.parametrize('version', [2**63, 1e300, 'new', True])
+    def test_malformed_version(self, version):
+        """Guards against a version that can't be told to other entries."""
+        with pytest.raises(InvalidInputError):
+            _jobs.decode_routing(config_body(version=version))
+
 
 REPORT = {
     'service': 'pool',
@@ -198,6 +242,9 @@
             {'state': None},
             {'capacity': 8},
             {'capacity': {'cpu': 'x'}},
+            {'capacity': {'cpu': 2**31}},
+            {'capacity': {'cpu': 1, 'mem_mb': -1}},
+            {'capacity': {'cpu': 1, 'gpu': 10**12}},
             {'sequence': '4'},
             {'sequence': True},
             {'born': 1.5},
@@ -217,6 +264,49 @@
             _workers.decode_report('i', b'\xff\x00')
 
 
+class TestLists:
+    LIST = {
+        'clock_ms': 5,
+        'born': 1,
+        'running': [['t', 1, '', 50, 0]],
+        'ended': [[1, 't', 1, 'done', '']],
+    }
+
+    def decode(self, **changes):
+        body = json.dumps({**self.LIST, **changes}).encode()
+        return _workers._decode_list(200, body, 1.0, 7)
+
+    def test_fields(self):
+        """Guards against rows that are read from the wrong columns."""
+        decoded = self.decode()
+        assert decoded.running == (runner.RunningRow('t', 1, 50),)
+        assert decoded.ended == (
+            runner.EndedRow(1, 't', 1, runner.RunOutcome.DONE),
+        )
+
+    @pytest.mark.parametrize(
+        'changes',
+        [
+            {'clock_ms': None},
+            {'clock_ms': 'x'},
+            {'born': 'x'},
+            {'running': 7},
+            {'running': [['t', 1, '', 'x', 0]]},
+            {'running': [['t', None, '', 50, 0]]},
+            {'running': [[7, 1, '', 50, 0]]},
+            {'running': [['t', 1]]},
+            {'ended': [['x', 't', 1, 'done', '']]},
+            {'ended': [[1, 't', 1, ['done'], '']]},
+            {'ended': [None]},
+        ],
+    )
+    def test_malformed(self, changes):
+        """Guards against values that raise when the list is processed."""
+        failed = self.decode(**changes)
+        assert isinstance(failed, runner.ListFailed)
+        assert 'malformed' in failed.reason
+
+
 class TestStartAnswers:
     @pytest.mark.parametrize(
         ('status', 'body', 'result'),
