--- a/azurepier/cli/_web.py
+++ b/azurepier/cli/_web.py
@@ -120,11 +120,7 @@
                 )
             response = await http.send(http_request)
             raw = await response.read() or b''
-        value = json.loads(raw) if raw.strip() else {}
-        if not isinstance(value, dict):
-            raise ValueError(
-                f'expected a JSON object, found {type(value).__name__}'
-            )
+        value = _decode_object(response.status, raw)
     except TimeoutError as exc:
         text = f'{url}: no response within {timeout_s:g} s'
         raise _command.ProcessError(text) from exc
@@ -138,6 +134,24 @@
     return response.status, value
 
 
+def _decode_object(status, raw):
+    """Return the JSON object in a response, an empty one without a body."""
+    if not raw.strip():
+        return {}
+    try:
+        value = json.loads(raw)
+    except ValueError as exc:
+        raise ValueError(
+            f'status {status} with a body that is not JSON, as a proxy or '
+            'another server may send it'
+        ) from exc
+    if not isinstance(value, dict):
+        raise ValueError(
+            f'expected a JSON object, found {type(value).__name__}'
+        )
+    return value
+
+
 def _response_error(url, status, document):
     title = document.get('title') or f'status {status}'
     detail = document.get('detail') or ''
--- a/azurepier/cli/tests/test_cli.py
+++ b/azurepier/cli/tests/test_cli.py
@@ -179,6 +179,19 @@
         assert (code, errors.startswith('error: ')) == (3, True)
 
 
+class TestOtherServers:
+    def test_error_page(self, serve):
+        """Guards against a parser's message in place of the HTTP status."""
+
+        async def handle(req):
+            return _server.Reply(b'<html>Bad gateway</html>', 502)
+
+        code, _, errors = run('status', '--entry', serve(handle))
+        assert code != 0
+        assert 'status 502' in errors
+        assert 'not JSON' in errors
+
+
 class TestProcesses:
     @pytest.fixture
     def fleet(self, serve):
--- a/azurepier/exchange/_exchange.py
+++ b/azurepier/exchange/_exchange.py
@@ -96,6 +96,7 @@
     """
     exchange.requested_at = None
     if config.adopt_body(adoption, msg.body, msg.base):
+        exchange.needs_full = False
         record_current(exchange, adoption)
         return True
     # The delta may be based on another edit with the same version number, so
--- a/azurepier/experiment/_spec.py
+++ b/azurepier/experiment/_spec.py
@@ -207,6 +207,9 @@
                 f'{location}.{key}',
                 f'unknown field; expected one of {", ".join(sorted(known))}',
             )
+    for field in attrs.fields(cls):
+        if field.default is attrs.NOTHING and field.name not in raw:
+            raise InvalidInputError(f'{location}.{field.name}', 'is missing')
     try:
         return cls(**raw)
     except TypeError as exc:
