Request a worker's list when the next end is due

Cause: a list request waits up to 0.15 s for an end.

Change: a request waits no longer than until the next end is due by the declared time and the measured speed, 30 ms at least, and for runs that are overdue a fifth of their time.

--- a/azurepier/dispatch/tests/test_load.py
+++ b/azurepier/dispatch/tests/test_load.py
@@ -25,6 +25,7 @@
 from azurepier.runner import _orders
 from azurepier.runner import _progress as runner_progress
 from azurepier.runner import _reports
+from azurepier.runner import _requests as runner_requests
 from azurepier.runner import _trial
 from azurepier import testing
 from azurepier.testing import count_late
@@ -167,7 +168,7 @@
         assert share_in_time(by_speed) > share_in_time(randomly) + 0.05
 
 
-def mean_in_time(jobs_per_s, fault, seeds=12):
+def mean_in_time(jobs_per_s, fault, seeds=30):
     """Return the mean of `share_in_time` over several seeds."""
     speeds = (1.0, 1.0, 1.6)
     shares = [
@@ -282,6 +283,33 @@
 class TestLostAnswers:
     """Workers that leave some calls unanswered for seconds."""
 
+    def share_in_time(self):
+        """Return the share of urgent jobs that are answered in time."""
+        shares = []
+        for seed in range(3):
+            fleet = testing.make_pool(
+                seed=seed, entries=4, speeds=(1.2,) * 12, cpu=64000
+            )
+            for worker in fleet.workers.values():
+                worker.lost_share = worker.lost_list_share = 0.22
+            for _ in range(150):
+                fleet.submit(0.102, count=8, cpu=6400)
+                fleet.run_for(0.02)
+            fleet.run_for(3.0)
+            assert fleet.ledger.overlaps == []
+            shares.append(share_in_time(fleet))
+        return statistics.mean(shares)
+
+    def test_lists_are_requested_when_ends_are_due(self, monkeypatch):
+        """Guards against ends that are noticed late after a lost answer."""
+        share = self.share_in_time()
+        monkeypatch.setattr(
+            runner_requests,
+            '_wait_ms',
+            lambda *_: runner_requests.LIST_LONG_POLL_MS,
+        )
+        assert share > self.share_in_time() + 0.1
+
     def test_list_requests_do_not_accumulate(self):
         """Lost answers must not cause additional list requests.
 
--- a/azurepier/runner/_requests.py
+++ b/azurepier/runner/_requests.py
@@ -1,13 +1,25 @@
-"""Requests for the worker's list of runs, which also renew its lease."""
+"""Requests for the worker's list of runs, which also renew its lease.
+
+Load pattern: for some seconds a worker loses answers, while urgent jobs have a
+tenth of a second to spare. If the answer that reports an end is lost, the end
+is seen with the next list, so that a request waits no longer than until an end
+is due.
+"""
 
 from azurepier.dispatch import bounds
 from azurepier.kernel import effects
 from azurepier.runner import _ends
 from azurepier.runner import _model
+from azurepier.runner import _progress
 from azurepier.runner import _state
 
-# Time for which the worker may delay its answer until a run ends (ms).
+# Maximum and minimum time for which the worker may delay its answer until a
+# run ends (ms).
 LIST_LONG_POLL_MS = 150
+LIST_SHORT_POLL_MS = 30
+# A run may be overdue by this share of its time before that shortens the wait
+# further; declared run times are off by about 40 %.
+OVERDUE_SHARE = 0.2
 _SETTLED_PHASES = {_state.Phase.RUNNING, _state.Phase.STARTING}
 # Increment of the generation if the worker has seen a higher one.
 GENERATION_STEP = 3600
@@ -34,10 +46,21 @@
     if node.list_pending:
         return []
     node.list_pending = True
-    wait_ms = LIST_LONG_POLL_MS if is_settled(node) else 0
+    wait_ms = _wait_ms(node, now) if is_settled(node) else 0
     return [_list_effect(node, wait_ms, now)]
 
 
+def _wait_ms(node, now):
+    """Return the time until the next end is due, within limits (ms)."""
+    speed = max(_progress.average_speed(node), 0.01)
+    wait_ms = LIST_LONG_POLL_MS
+    for run in node.runs.values():
+        elapsed_ms = (now - run.requested_at) * _ends.MS_PER_S
+        due_ms = run.order.expected_ms / speed - elapsed_ms
+        wait_ms = min(wait_ms, max(due_ms, OVERDUE_SHARE * elapsed_ms))
+    return max(round(wait_ms), LIST_SHORT_POLL_MS)
+
+
 def is_settled(node):
     """Return whether there are runs and the phase of each is certain."""
     phases = {run.phase for run in node.runs.values()}
--- a/azurepier/testing/_worker.py
+++ b/azurepier/testing/_worker.py
@@ -99,6 +99,8 @@
     delayed_share, lost_share : float
         Fractions of requests that are executed seconds later and not answered,
         and that are executed at once but whose answer is lost.
+    lost_list_share : float
+        Fraction of list requests that are executed but not answered.
     reset_share : float
         Fraction of requests whose connection is reset; half of these are
         executed.
@@ -130,6 +132,7 @@
     failing: bool = False
     delayed_share: float = 0.0
     lost_share: float = 0.0
+    lost_list_share: float = 0.0
     reset_share: float = 0.0
     unresponsive: bool = False
     uneven: float = 0.0
@@ -307,6 +310,14 @@
                 self._expire_lease,
             )
         self.ended = [row for row in self.ended if row.index > effect.acked]
+        if self.lost_list_share and self.rng.random() < self.lost_list_share:
+            self.driver.after(
+                effect.wait_ms / 1000 + 0.08,
+                self.driver.feed,
+                process,
+                runner.ListFailed('no answer', effect.number),
+            )
+            return
         requested_at = self.driver.now
         if effect.wait_ms and not self.ended:
             pending_request = [process, requested_at, effect.number]
