--- a/azurepier/runner/__init__.py
+++ b/azurepier/runner/__init__.py
@@ -22,6 +22,9 @@
 _SOURCES = {name: f'azurepier.runner._model:{name}' for name in _MODEL}
 for _name in _EVACUATION:
     _SOURCES[_name] = f'azurepier.runner._evacuation:{_name}'
+_SOURCES['LIST_TIMEOUT_MARGIN_S'] = (
+    'azurepier.runner._requests:LIST_TIMEOUT_MARGIN_S'
+)
 _SOURCES['Options'] = 'azurepier.runner._state:Options'
 _NODE = ('create', 'handle', 'knows', 'recover', 'status')
 for _name in _NODE:
@@ -29,4 +32,4 @@
 
 __getattr__ = _lazy.loader(__name__, _SOURCES)
 
-__all__ = [*_MODEL, *_EVACUATION, 'Options', *_NODE]
+__all__ = [*_MODEL, *_EVACUATION, 'LIST_TIMEOUT_MARGIN_S', 'Options', *_NODE]
--- a/azurepier/runner/_requests.py
+++ b/azurepier/runner/_requests.py
@@ -20,6 +20,10 @@
 # A run may be overdue by this share of its time before that shortens the wait
 # further; declared run times are off by about 40 %.
 OVERDUE_SHARE = 0.2
+# Timeout of a list request, in addition to the time for which the worker may
+# delay its answer (s). A worker on the same machine answers within a
+# millisecond.
+LIST_TIMEOUT_MARGIN_S = 0.03
 _SETTLED_PHASES = {_state.Phase.RUNNING, _state.Phase.STARTING}
 # Increment of the generation if the worker has seen a higher one.
 GENERATION_STEP = 3600
--- a/azurepier/testing/_worker.py
+++ b/azurepier/testing/_worker.py
@@ -289,7 +289,7 @@
         """Renew the lease and list the runs, after a wait if requested."""
         if self.unresponsive or self.rng.random() < self.delayed_share:
             self.driver.after(
-                effect.wait_ms / 1000 + 0.08,
+                effect.wait_ms / 1000 + runner.LIST_TIMEOUT_MARGIN_S,
                 self.driver.feed,
                 process,
                 runner.ListFailed('no answer', effect.number),
@@ -312,7 +312,7 @@
         self.ended = [row for row in self.ended if row.index > effect.acked]
         if self.lost_list_share and self.rng.random() < self.lost_list_share:
             self.driver.after(
-                effect.wait_ms / 1000 + 0.08,
+                effect.wait_ms / 1000 + runner.LIST_TIMEOUT_MARGIN_S,
                 self.driver.feed,
                 process,
                 runner.ListFailed('no answer', effect.number),
