--- a/azurepier/dispatch/_evacuation.py
+++ b/azurepier/dispatch/_evacuation.py
@@ -31,7 +31,7 @@
     return _apply(node, event.evacuations, 'store')
 
 
-def on_peer_news(node, peer, msg):
+def on_peer_update(node, peer, msg):
     """Apply the evacuations in the heartbeat of another entry, if any."""
     if msg.evacuations_revision is None or msg.evacuated is None:
         return []
--- a/azurepier/dispatch/_peers.py
+++ b/azurepier/dispatch/_peers.py
@@ -81,9 +81,9 @@
 
 
 def on_heartbeat(node, peer, msg, now):
-    """Apply the peer's news, and send it the configuration if newer."""
+    """Apply the peer's update, and send it the configuration if newer."""
     peer.config_version = max(peer.config_version, msg.config_version)
-    out = _evacuation.on_peer_news(node, peer, msg)
+    out = _evacuation.on_peer_update(node, peer, msg)
     return out + offer_config(node, peer)
 
 
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -284,7 +284,7 @@
         factory=collections.Counter
     )
     routing: object = None
-    # Evacuated failure domains, None before the first news of them, and the
+    # Evacuated failure domains, None before the first update of them, and the
     # time of the latest answer of the store (s).
     evacuations: object = None
     store_seen_at: float = 0.0
--- a/azurepier/dispatch/tests/test_evacuation.py
+++ b/azurepier/dispatch/tests/test_evacuation.py
@@ -163,7 +163,7 @@
         assert blocker.body == dispatch.Finished(True)
 
 
-class TestNews:
+class TestPropagation:
     """Processes that are cut off, restarted or behind."""
 
     def test_entry_without_store_and_peers(self):
@@ -186,7 +186,7 @@
         assert len(refused) < 6
 
     def test_entry_learns_from_peers(self):
-        """Guards against an entry that places tasks by old news."""
+        """Guards against an entry that places tasks by an old update."""
         fleet = make_pool()
         fleet.store_cut.add('e0')
         fleet.evacuate('d0')
@@ -218,8 +218,8 @@
         load(fleet, 3.0)
         assert starts_since(fleet, 'd0', at) == []
 
-    def test_restarted_endpoint_process_and_entries_without_news(self):
-        """Guards against starts before any news, and a read that is missing.
+    def test_restarted_endpoint_process_without_updates(self):
+        """Guards against starts before any update, and a read that is missing.
 
         An older version of the entry sends no evacuations.
         """
@@ -259,8 +259,8 @@
         assert node.evacuations.domains == {'d0'}
 
     @pytest.mark.parametrize('role', ['entry', 'endpoint'])
-    def test_older_news_is_ignored(self, role):
-        """Guards against delayed news that undo an evacuation or a return."""
+    def test_older_updates_are_ignored(self, role):
+        """Guards against a delayed update that undoes a later change."""
         fleet = make_pool()
         old = messages.Beat(
             config_version=1,
@@ -418,7 +418,7 @@
     @settings(max_examples=60, deadline=None, derandomize=True)
     @given(st.integers(0, 1000), st.lists(_step, max_size=30))
     def test_no_late_start(self, seed, steps):
-        """Guards against news that is lost or undone by a fault.
+        """Guards against updates that are lost or undone by a fault.
 
         Endpoint processes can always reach the store here, as the bound holds
         only for these.
--- a/azurepier/dispatch/tests/test_mechanisms.py
+++ b/azurepier/dispatch/tests/test_mechanisms.py
@@ -25,7 +25,7 @@
 from azurepier.runner import _orders
 from azurepier.runner import _trial
 
-NewsTests = evacuation.TestNews
+PropagationTests = evacuation.TestPropagation
 EntryTests = faults.TestEntry
 EndpointProcessTests = faults.TestEndpointProcess
 WorkerTests = faults.TestWorker
@@ -90,7 +90,7 @@
     patch.setattr(runner_evacuation, 'is_evacuated', lambda node: False)
 
 
-def _accept_before_news(patch):
+def _accept_before_first_update(patch):
     patch.setattr(
         runner_evacuation,
         'takes_runs',
@@ -98,11 +98,11 @@
     )
 
 
-def _ignore_news_of_peers(patch):
-    patch.setattr(_evacuation, 'on_peer_news', _no_effects)
+def _ignore_updates_of_peers(patch):
+    patch.setattr(_evacuation, 'on_peer_update', _no_effects)
 
 
-def _omit_news(patch):
+def _omit_evacuations(patch):
     patch.setattr(
         _evacuation,
         'make_heartbeat',
@@ -110,7 +110,7 @@
     )
 
 
-def _accept_older_news(patch):
+def _accept_older_updates(patch):
     patch.setattr(membership, 'is_newer', lambda *args: True)
 
 
@@ -191,35 +191,35 @@
     ),
     'endpoint processes refuse orders in an evacuated domain': (
         _ignore_evacuation_at_endpoints,
-        NewsTests().test_entry_without_store_and_peers,
+        PropagationTests().test_entry_without_store_and_peers,
     ),
     'a start is not repeated in an evacuated domain': (
         _ignore_evacuation_at_endpoints,
         evacuation.TestEndpointProcess().test_start_is_not_repeated,
     ),
-    'an endpoint process accepts no order before the first news': (
-        _accept_before_news,
-        NewsTests().test_restarted_endpoint_process_and_entries_without_news,
+    'an endpoint process accepts no order before the first update': (
+        _accept_before_first_update,
+        PropagationTests().test_restarted_endpoint_process_without_updates,
     ),
     'endpoint processes read the store if no entry does': (
         _disable_store_reads,
-        NewsTests().test_no_entry_reaches_the_store,
+        PropagationTests().test_no_entry_reaches_the_store,
     ),
     'entries apply the evacuations that others know': (
-        _ignore_news_of_peers,
-        NewsTests().test_entry_learns_from_peers,
+        _ignore_updates_of_peers,
+        PropagationTests().test_entry_learns_from_peers,
     ),
     'evacuations are sent on new connections': (
-        _omit_news,
-        NewsTests().test_restarted_entry_without_store,
+        _omit_evacuations,
+        PropagationTests().test_restarted_entry_without_store,
     ),
-    'older news is ignored': (
-        _accept_older_news,
-        lambda: NewsTests().test_older_news_is_ignored('entry'),
+    'older updates are ignored': (
+        _accept_older_updates,
+        lambda: PropagationTests().test_older_updates_are_ignored('entry'),
     ),
-    'older news is ignored by endpoint processes': (
-        _accept_older_news,
-        lambda: NewsTests().test_older_news_is_ignored('endpoint'),
+    'older updates are ignored by endpoint processes': (
+        _accept_older_updates,
+        lambda: PropagationTests().test_older_updates_are_ignored('endpoint'),
     ),
     'evacuated capacity is not counted': (
         _count_evacuated_supply,
--- a/azurepier/membership/_evacuation.py
+++ b/azurepier/membership/_evacuation.py
@@ -2,8 +2,8 @@
 
 Each process keeps the evacuated domains together with the revision of the
 store at which they were read. The store's revisions order all copies, however
-they arrive, so that news which was delayed or comes from a process without
-contact to the store never undoes a later change.
+they arrive, so that an update that was delayed, or comes from a process
+without contact to the store, never undoes a later change.
 """
 
 import attrs
--- a/azurepier/runner/_evacuation.py
+++ b/azurepier/runner/_evacuation.py
@@ -13,9 +13,9 @@
 from azurepier.kernel import effects
 from azurepier import membership
 
-# Time for which a new process waits for the news of its first entry before it
-# reads the store (s).
-FIRST_NEWS_WAIT_S = 0.3
+# Time for which a new process waits for the update of its first entry before
+# it reads the store (s).
+FIRST_UPDATE_WAIT_S = 0.3
 # Interval of checks whether an entry has contact to the store, and of reads
 # while none has (s).
 CHECK_INTERVAL_S = 1.0
@@ -78,14 +78,14 @@
     return [effects.Log(event, fields)]
 
 
-def expect_news(node, now):
+def expect_update(node, now):
     """Make sure that the evacuations become known after a connection."""
     if node.evacuations is None:
-        node.timers.set_no_later_than('evacuations', now + FIRST_NEWS_WAIT_S)
+        node.timers.set_no_later_than('evacuations', now + FIRST_UPDATE_WAIT_S)
 
 
 def on_check_timer(node, _, now):
-    """Read the store if the news of the entries may be out of date."""
+    """Read the store if the updates of the entries may be out of date."""
     jitter = node.rng.uniform(1.0 - CHECK_JITTER, 1.0 + CHECK_JITTER)
     node.timers.set('evacuations', now + CHECK_INTERVAL_S * jitter)
     links = node.by_conn.values()
--- a/azurepier/runner/_links.py
+++ b/azurepier/runner/_links.py
@@ -40,7 +40,7 @@
     link.last_received_at = now
     link.store_silent = False
     node.by_conn[event.conn] = link
-    _evacuation.expect_news(node, now)
+    _evacuation.expect_update(node, now)
     node.roster.learn(hello.address, hello.domain, now)
     node.roster.mark_connected(hello.address)
     node.changed = True
@@ -126,7 +126,7 @@
 
 
 def on_heartbeat(node, link, msg, now):
-    """Store the demand that an entry reports, and apply its news."""
+    """Store the demand that an entry reports, and apply its update."""
     link.demand = msg.demand
     return _evacuation.on_heartbeat(node, link, msg)
 
--- a/tests/adapter/test_operator.py
+++ b/tests/adapter/test_operator.py
@@ -26,21 +26,21 @@
 
     Attributes
     ----------
-    news : list of Evacuations
+    updates : list of Evacuations
     """
 
     def __init__(self):
-        self.news = []
+        self.updates = []
         self.counted = []
         self.node = types.SimpleNamespace(count=self.counted.append)
 
     def feed(self, event):
         if isinstance(event, membership.EvacuationsLoaded):
-            self.news.append(event.evacuations)
+            self.updates.append(event.evacuations)
 
     def domains(self):
         """Return the latest evacuated failure domains, or None."""
-        return self.news[-1].domains if self.news else None
+        return self.updates[-1].domains if self.updates else None
 
 
 @contextlib.asynccontextmanager
@@ -70,7 +70,7 @@
                 await until(lambda: shell.domains() == {'b'})
                 fake_store.put(PREFIX + 'a', b'not JSON')
                 await until(lambda: shell.domains() == {'a', 'b'})
-                revisions = [each.revision for each in shell.news]
+                revisions = [each.revision for each in shell.updates]
                 assert revisions == sorted(revisions)
 
     @pytest.mark.parametrize('fault', ['unavailable', 'reset', 'answer_lost'])
@@ -88,7 +88,7 @@
                 fake_store.discard_history()
                 fake_store.fault = ''
                 await until(lambda: shell.domains() == {'b'})
-                assert not any(each.domains == set() for each in shell.news)
+                assert not any(each.domains == set() for each in shell.updates)
 
     @run_in_loop
     async def test_several_pages(self):
