Don't take a domain back because of an item without a key

An endpoint process that reads the evacuations itself took a page from which items were left out as complete, so that an item of another program could end an evacuation.

--- a/azurepier/store/_interface.py
+++ b/azurepier/store/_interface.py
@@ -34,10 +34,11 @@
 class Page:
     """Items at a revision of the store.
 
-    `malformed` is the number of items that can't be decoded. They are omitted
-    unless their key and revision are valid.
+    `malformed` is the number of items that can't be decoded, and `omitted` the
+    number of those whose key or revision is invalid, which are left out.
     """
 
     items: tuple
     revision: int
     malformed: int = 0
+    omitted: int = 0
--- a/azurepier/store/_keys.py
+++ b/azurepier/store/_keys.py
@@ -31,13 +31,13 @@
         ----------
         page : Page
         complete : bool
-            Whether the page is a snapshot. One with items that can't be
-            decoded removes nothing, since their keys are not known.
+            Whether the page is a snapshot. One from which items are omitted
+            removes nothing, since their keys are not known.
         """
         if page.revision < self.revision:
             return
         self.revision = page.revision
-        if complete and not page.malformed:
+        if complete and not page.omitted:
             self.names.clear()
         for item in page.items:
             if not item.key.startswith(self.prefix):
--- a/tests/adapter/test_operator.py
+++ b/tests/adapter/test_operator.py
@@ -149,6 +149,15 @@
                 await until(lambda: shell.counted)
                 assert shell.domains() == {'a'}
 
+    @run_in_loop
+    async def test_read_with_unknown_items(self):
+        """Guards against an endpoint process that takes back a domain."""
+        async with serving_store() as (fake_store, _, client):
+            fake_store.put(PREFIX + 'a', b'{}')
+            fake_store.items[PREFIX + 'b'] = {'rev': 'x'}
+            with pytest.raises(store.StoreError, match='without a key'):
+                await _operator.read_evacuations(client)
+
     @pytest.mark.parametrize('body', MALFORMED_ANSWERS)
     @run_in_loop
     async def test_malformed_answer(self, body):
