Log what a new connection's two sides know of each other's runs

A run that a returning endpoint process neither lists nor reports as ended is called refused (not_received). The logs didn't tell whether the order was lost with its connection, its end was left out as too old, the endpoint process had forgotten the entry, or the numbers of orders had started again.

The entry logs both sides' counts and highest numbers, one line for each new connection with runs; the endpoint process logs whether it still knew the entry, and when it forgets one. No decision changes.

--- a/azurepier/dispatch/_links.py
+++ b/azurepier/dispatch/_links.py
@@ -90,7 +90,7 @@
     update_state(endpoint, msg.state)
     endpoint.runs_expire_at = None
     node.timers.cancel(('runs_expired', endpoint.incarnation))
-    out = []
+    out = _log_reconciliation(endpoint, msg)
     for end in msg.ends:
         out += on_run_end(node, endpoint, end, now)
     running = set(msg.running)
@@ -110,6 +110,26 @@
     return out
 
 
+def _log_reconciliation(endpoint, msg):
+    """Log what both sides know of each other's runs, if there are any."""
+    if not endpoint.runs and not msg.running and not msg.ends:
+        return []
+    accounted = {*msg.running, *(end.seq for end in msg.ends)}
+    missing = [seq for seq in endpoint.runs if seq not in accounted]
+    fields = {
+        'endpoint': endpoint.name,
+        'runs': len(endpoint.runs),
+        'running': len(msg.running),
+        'ends': len(msg.ends),
+        'missing': len(missing),
+        # Orders that arrived and of which nothing is known any more.
+        'missing_received': sum(seq <= msg.state.seen for seq in missing),
+        'received_seq': msg.state.seen,
+        'ordered_seq': endpoint.next_seq - 1,
+    }
+    return [effects.Log('runs_reconciled', fields)]
+
+
 def on_pool_state(node, endpoint, msg, now):
     """Apply the state that an endpoint reports."""
     update_state(endpoint, msg)
--- a/azurepier/runner/_links.py
+++ b/azurepier/runner/_links.py
@@ -29,6 +29,7 @@
         return [effects.Close(event.conn)]
     out = []
     link = node.links.get(hello.incarnation)
+    is_known = link is not None
     if link is None:
         link = _state.Link(hello.name, hello.incarnation, hello.address, now)
         node.links[hello.incarnation] = link
@@ -44,12 +45,19 @@
     node.roster.learn(hello.address, hello.domain, now)
     node.roster.mark_connected(hello.address)
     node.changed = True
-    out.append(effects.Log('entry_connected', {'entry': link.name}))
     known = messages.RunsKnown(
         running=list(link.runs),
         ends=[end for _, end in link.reported_ends] + link.unreported_ends,
         state=_capacity.pool_state(node, link, now),
     )
+    fields = {
+        'entry': link.name,
+        'known': is_known,
+        'runs': len(known.running),
+        'ends': len(known.ends),
+        'received_seq': link.highest_seq,
+    }
+    out.append(effects.Log('entry_connected', fields))
     _reports.mark_ends_reported(link, now)
     out.append(effects.Send(event.conn, known))
     return out
@@ -113,7 +121,12 @@
         node.timers.set(('forget', incarnation), now + LINK_LIFETIME_S)
         return []
     del node.links[incarnation]
-    return []
+    fields = {
+        'entry': link.name,
+        'received_seq': link.highest_seq,
+        'unreported_ends': len(link.unreported_ends),
+    }
+    return [effects.Log('entry_forgotten', fields)]
 
 
 def abort_connections(node, now, reason):
