Don't call a run refused because its end isn't reported

Cause: when an endpoint process returns, the entry took each run that it neither lists nor reports as ended for an order that never arrived (not_received), which is refused, and a job with only refused runs is answered "not run". But the endpoint process leaves out ends that it reported more than 3 s ago, received or not, and forgets an entry after 5.5 s. An entry that was frozen that long, with callers that still wait, therefore concluded from a missing record that nothing had run.

An order is now called lost with its connection only if its number is above the highest that the endpoint process has received, which it reports already, and if it has received any. Every other missing run counts as lost, so that its job may have run. The first report on a link that was forgotten has no received number, so that this holds for it too. No message changes.

--- a/azurepier/dispatch/_links.py
+++ b/azurepier/dispatch/_links.py
@@ -97,11 +97,8 @@
     stops = [seq for seq in running if seq not in endpoint.runs]
     for run in list(endpoint.runs.values()):
         if run.seq not in running:
-            # The connection that carried the order is closed, so the order
-            # can't arrive any more.
-            out += _runs.end_run(
-                node, endpoint, run, Status.REFUSED, 'not_received', now
-            )
+            status, reason = _status_of_missing(run, msg.state)
+            out += _runs.end_run(node, endpoint, run, status, reason, now)
         elif run.stopping:
             stops.append(run.seq)
     if stops:
@@ -110,6 +107,19 @@
     return out
 
 
+def _status_of_missing(run, state):
+    """Return status and reason of a run that an endpoint doesn't report.
+
+    An order above the highest number received was lost with its connection,
+    which is closed, so that it can't arrive any more. A lower one did arrive;
+    the run has ended, and the endpoint process no longer reports its end. If
+    no order was received, the endpoint process may have forgotten this entry.
+    """
+    if run.seq > state.seen > 0:
+        return Status.REFUSED, 'not_received'
+    return Status.LOST, 'end_not_reported'
+
+
 def _log_reconciliation(endpoint, msg):
     """Log what both sides know of each other's runs, if there are any."""
     if not endpoint.runs and not msg.running and not msg.ends:
