Use each number of an order only once

Found in the search for the cause of the refused job that ran; it is of the same class: what one side has forgotten, the other one still knows.

Cause: an entry numbered its orders for each endpoint process, and dropped the numbers with its state of an endpoint process that was away for 1.2 s. The same process then returned with its own state: it reports ends of the last 3 s again on each new connection, and an end of an earlier order ended the new run with the same number, whatever its task. Stops had the same fault.

Evidence: the new test, deterministic, fails before with a job of 3 s answered as succeeded after 0.1 s. On virtual time and in the logs, runs_reconciled shows received_seq 7 to 39 with ordered_seq 0 right after such a return.

An entry now counts its orders over all endpoint processes, so that a number stands for one run as long as the entry lives. Endpoint processes take the numbers as before; no message changes.

--- a/azurepier/dispatch/_links.py
+++ b/azurepier/dispatch/_links.py
@@ -135,7 +135,7 @@
         # Orders that arrived and of which nothing is known any more.
         'missing_received': sum(seq <= msg.state.seen for seq in missing),
         'received_seq': msg.state.seen,
-        'ordered_seq': endpoint.next_seq - 1,
+        'ordered_seq': max(endpoint.runs, default=None),
     }
     return [effects.Log('runs_reconciled', fields)]
 
--- a/azurepier/dispatch/_runs.py
+++ b/azurepier/dispatch/_runs.py
@@ -42,8 +42,8 @@
     """Add an order for the next waiting task of a job; `flush` sends it."""
     task = job.waiting.pop()
     task.starts += 1
-    seq = endpoint.next_seq
-    endpoint.next_seq += 1
+    seq = node.next_seq
+    node.next_seq += 1
     expected_end_at = now + job.work_s / endpoint.speed
     resources = job.request.resources
     run = _state.Run(seq, task, task.name, resources, now, expected_end_at)
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -125,8 +125,7 @@
     Parameters
     ----------
     seq : int
-        Number of the run, counted for each pair of entry and endpoint
-        process.
+        Number of the run, used only once by this incarnation of the entry.
     task : Task or None
         None once the job has ended and only the end of the run is pending.
     name : str
@@ -199,7 +198,6 @@
     sent_roster_version: int = -1
     roster_sent_at: float = 0.0
     runs_expire_at: float | None = None
-    next_seq: int = 1
     runs: dict = attrs.field(factory=dict)
     runs_per_job: collections.Counter = attrs.field(
         factory=collections.Counter
@@ -259,6 +257,9 @@
         Whether the waiting jobs have to be dispatched again.
     drain_end_at : float
         During a drain: time at which unfinished jobs are rejected (s).
+    next_seq : int
+        Number of the next run. Endpoint processes report runs by number, also
+        after this entry has dropped its state of them.
     unsent_orders : dict of int to RunOrders
         Orders of the current pass, by connection.
     """
@@ -283,6 +284,7 @@
     run_count_by_task: collections.Counter = attrs.field(
         factory=collections.Counter
     )
+    next_seq: int = 1
     routing: object = None
     # Evacuated failure domains, None before the first update of them, and the
     # time of the latest answer of the store (s).
--- a/azurepier/dispatch/tests/test_reconnection.py
+++ b/azurepier/dispatch/tests/test_reconnection.py
@@ -61,3 +61,27 @@
         assert fleet.wrong_answers == []
         fleet.run_for(15.0)
         assert call.body == dispatch.Finished(True)
+
+
+class TestReturnedEndpoint:
+    def test_ends_of_earlier_orders_are_not_taken_for_new_ones(self):
+        """Guards against numbers of orders that start again after a cut."""
+        fleet = testing.make_pool(speeds=(1.0,))
+        for _ in range(3):
+            fleet.submit(0.2, count=2, entry='e0')
+        fleet.submit(4.0, entry='e0')
+        fleet.run_for(0.5)
+        entry, endpoint = fleet.entries['e0'], fleet.endpoints['w0']
+        fleet.driver.partition(entry, endpoint)
+        fleet.run_for(1.9)
+        fleet.driver.heal(entry, endpoint)
+        fleet.run_for(0.5)
+        call = fleet.submit(3.0, count=4, entry='e0')
+        fleet.run_for(0.1)
+        reset_connections(fleet, 'e0')
+        fleet.run_for(0.5)
+        assert call.body is None
+        fleet.run_for(4.0)
+        assert call.body == dispatch.Finished(True)
+        assert fleet.wrong_answers == []
+        assert fleet.ledger.overlaps == []
