Report ends of runs until the entry acknowledges them

Callers of an entry that was frozen for some seconds waited for tasks that had ended meanwhile and ran again, or were told that the job may have run: the endpoint process left out ends that it had reported more than 3 s ago, and forgot an entry after 5.5 s, whether or not the reports had arrived.

Heartbeats of entries now carry the number of reports received on the connection (an optional field). Endpoint processes keep the ends of reports that are not acknowledged, up to 4,096 for each entry, and keep an entry with such ends for 40 s, the longest time for which callers were seen to wait. Entries of earlier versions don't send the field, for them the former times hold; endpoint processes of earlier versions skip it. Acknowledged ends are dropped at once, so that a report on a new connection is shorter than before.

--- a/azurepier/dispatch/_links.py
+++ b/azurepier/dispatch/_links.py
@@ -24,6 +24,7 @@
     if not node.by_conn:
         node.warm_up_since = now
     endpoint.conn = conn
+    endpoint.reports_received = 0
     endpoint.accepting = False
     endpoint.evacuated = _evacuation.is_evacuated(node, endpoint.domain)
     endpoint.last_received_at = now
@@ -103,6 +104,7 @@
             stops.append(run.seq)
     if stops:
         out.append(effects.Send(endpoint.conn, messages.RunStops(seqs=stops)))
+    endpoint.reports_received += 1
     node.dirty = True
     return out
 
@@ -153,6 +155,7 @@
     for end in msg.ends:
         out += on_run_end(node, endpoint, end, now)
     update_state(endpoint, msg.state)
+    endpoint.reports_received += 1
     node.dirty = True
     return out
 
@@ -203,11 +206,8 @@
 
 
 def _send_endpoint_heartbeats(node, now):
-    msg = messages.Beat(
-        config_version=_state.config_version(node),
-        demand=_demand.demand_per_endpoint(node),
-        store_silent_ms=_evacuation.store_silent_ms(node, now),
-    )
+    demand = _demand.demand_per_endpoint(node)
+    store_silent_ms = _evacuation.store_silent_ms(node, now)
     out = []
     for endpoint in list(node.by_conn.values()):
         if is_silent(endpoint, now):
@@ -220,6 +220,12 @@
         )
         if _bounds.is_due(now - endpoint.last_sent_at, interval_s):
             endpoint.last_sent_at = now
+            msg = messages.Beat(
+                config_version=_state.config_version(node),
+                demand=demand,
+                store_silent_ms=store_silent_ms,
+                reports_received=endpoint.reports_received,
+            )
             out.append(effects.Send(endpoint.conn, msg))
     return out
 
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -163,6 +163,8 @@
     failures : int
         Number of jobs whose tasks have failed or stalled since the last
         success.
+    reports_received : int
+        Number of reports with ends received on the connection.
     runs : dict of int to Run
         By `Run.seq`.
     runs_per_job : collections.Counter
@@ -198,6 +200,7 @@
     sent_roster_version: int = -1
     roster_sent_at: float = 0.0
     runs_expire_at: float | None = None
+    reports_received: int = 0
     runs: dict = attrs.field(factory=dict)
     runs_per_job: collections.Counter = attrs.field(
         factory=collections.Counter
--- a/azurepier/runner/_links.py
+++ b/azurepier/runner/_links.py
@@ -14,8 +14,11 @@
 # Entry addresses are read from the store after this time without a connection
 # to an entry (s).
 STORE_LOOKUP_DELAY_S = 1.0
-# A disconnected link without runs is removed after this time (s).
+# A disconnected link without runs is removed after this time (s), and after
+# the longer one if the entry has not acknowledged all ends. Callers wait for
+# an answer for up to 40 s, also for that of an entry that was frozen.
 LINK_LIFETIME_S = 5.0
+UNACKNOWLEDGED_LIFETIME_S = 40.0
 # A surplus connection stops accepting orders at once and is closed after this
 # time (s) or once its runs have ended, whichever is later. Orders that were in
 # transit have arrived by then.
@@ -47,7 +50,7 @@
     node.changed = True
     known = messages.RunsKnown(
         running=list(link.runs),
-        ends=[end for _, end in link.reported_ends] + link.unreported_ends,
+        ends=_reports.all_ends(link),
         state=_capacity.pool_state(node, link, now),
     )
     fields = {
@@ -58,7 +61,7 @@
         'received_seq': link.highest_seq,
     }
     out.append(effects.Log('entry_connected', fields))
-    _reports.mark_ends_reported(link, now)
+    _reports.mark_all_reported(link, now)
     out.append(effects.Send(event.conn, known))
     return out
 
@@ -108,7 +111,10 @@
     out = []
     for run in list(link.runs.values()):
         out += _stops.stop_run(node, run, 'entry_lost', now)
-    node.timers.set(('forget', incarnation), now + LINK_LIFETIME_S)
+    lifetime_s = LINK_LIFETIME_S
+    if link.acknowledges and (link.runs or _reports.all_ends(link)):
+        lifetime_s = UNACKNOWLEDGED_LIFETIME_S
+    node.timers.set(('forget', incarnation), now + lifetime_s)
     return out
 
 
@@ -124,7 +130,7 @@
     fields = {
         'entry': link.name,
         'received_seq': link.highest_seq,
-        'unreported_ends': len(link.unreported_ends),
+        'ends': len(_reports.all_ends(link)),
     }
     return [effects.Log('entry_forgotten', fields)]
 
@@ -139,8 +145,9 @@
 
 
 def on_heartbeat(node, link, msg, now):
-    """Store the demand that an entry reports, and apply its update."""
+    """Store demand and acknowledgement of an entry, and apply its update."""
     link.demand = msg.demand
+    _reports.on_acknowledged(link, msg.reports_received)
     return _evacuation.on_heartbeat(node, link, msg)
 
 
--- a/azurepier/runner/_reports.py
+++ b/azurepier/runner/_reports.py
@@ -8,6 +8,8 @@
 a refusal but no call to the worker.
 """
 
+import collections
+
 from azurepier.dispatch import bounds
 from azurepier.kernel import effects
 from azurepier.kernel import messages
@@ -21,8 +23,12 @@
 # more entries (s). An entry with runs gets the free capacity together with
 # their progress.
 REPORT_INTERVAL_S = 0.25
-# Ends that are younger than this are reported again on a new connection (s).
+# Ends that are younger than this are reported again on a new connection to an
+# entry that doesn't acknowledge them (s).
 ENDS_RETENTION_S = 3.0
+# Number of ends that are kept until an entry acknowledges them. At 100 runs
+# per second and entry, this covers a freeze of 40 s.
+ENDS_KEPT_MAX = 4096
 
 
 def on_changed(node, _, now):
@@ -43,17 +49,55 @@
     return [effects.Send(link.conn, msg)]
 
 
+def all_ends(link):
+    """Return the ends to report on a new connection."""
+    return [end for _, _, end in link.reported_ends] + link.unreported_ends
+
+
+def mark_all_reported(link, now):
+    """Record that the first report on a new connection has all ends."""
+    link.reports_sent = 0
+    link.reported_ends = collections.deque(
+        (1, at, end) for _, at, end in link.reported_ends
+    )
+    mark_ends_reported(link, now)
+
+
 def mark_ends_reported(link, now):
     """Keep the ends just reported, in case the connection is replaced."""
-    link.reported_ends.extend((now, end) for end in link.unreported_ends)
+    link.reports_sent += 1
+    link.reported_ends.extend(
+        (link.reports_sent, now, end) for end in link.unreported_ends
+    )
     link.unreported_ends = []
+    if link.acknowledges:
+        while len(link.reported_ends) > ENDS_KEPT_MAX:
+            link.reported_ends.popleft()
+        return
     while (
         link.reported_ends
-        and link.reported_ends[0][0] < now - ENDS_RETENTION_S
+        and link.reported_ends[0][1] < now - ENDS_RETENTION_S
     ):
         link.reported_ends.popleft()
 
 
+def on_acknowledged(link, reports_received):
+    """Drop the ends in the reports that the entry has received.
+
+    Parameters
+    ----------
+    link : Link
+    reports_received : int or None
+        Number of reports received on the connection; None from entries that
+        don't acknowledge.
+    """
+    if reports_received is None:
+        return
+    link.acknowledges = True
+    while link.reported_ends and link.reported_ends[0][0] <= reports_received:
+        link.reported_ends.popleft()
+
+
 def on_report_timer(node, _, now):
     """Report changes to the entries whose report interval has passed."""
     immediate = len(node.by_conn) <= IMMEDIATE_REPORT_ENTRIES_MAX
--- a/azurepier/runner/_state.py
+++ b/azurepier/runner/_state.py
@@ -116,8 +116,14 @@
         Earliest time at which a surplus connection is closed (s).
     runs : dict of int to Run
         By the sequence number of the order.
+    reports_sent : int
+        Number of reports with ends sent on the connection.
+    acknowledges : bool
+        Whether the entry has acknowledged a report. Entries of earlier
+        versions don't.
     reported_ends : deque
-        ``(time, RunEnd)`` of recent ends, reported again on a new connection.
+        ``(report, time, RunEnd)`` of ends that are reported again on a new
+        connection: those not acknowledged, or recent ones.
     unreported_ends : list of RunEnd
     """
 
@@ -133,6 +139,8 @@
     store_silent: bool = False
     close_at: float | None = None
     runs: dict = attrs.field(factory=dict)
+    reports_sent: int = 0
+    acknowledges: bool = False
     reported_ends: collections.deque = attrs.field(factory=collections.deque)
     unreported_ends: list = attrs.field(factory=list)
 
--- a/azurepier/wire/_codec.py
+++ b/azurepier/wire/_codec.py
@@ -66,7 +66,12 @@
         'nonce',
         'proof',
     },
-    ttypes.Beat: {'evacuations_revision', 'evacuated', 'store_silent_ms'},
+    ttypes.Beat: {
+        'evacuations_revision',
+        'evacuated',
+        'store_silent_ms',
+        'reports_received',
+    },
 }
 
 _pack_header = struct.Struct('>IB').pack
--- a/azurepier/wire/gen/messages/ttypes.py
+++ b/azurepier/wire/gen/messages/ttypes.py
@@ -3661,6 +3661,7 @@
      - evacuations_revision
      - evacuated
      - store_silent_ms
+     - reports_received
 
     """
 
@@ -3670,15 +3671,17 @@
         'evacuations_revision',
         'evacuated',
         'store_silent_ms',
+        'reports_received',
     )
 
 
-    def __init__(self, config_version=None, demand=None, evacuations_revision=None, evacuated=None, store_silent_ms=None,):
+    def __init__(self, config_version=None, demand=None, evacuations_revision=None, evacuated=None, store_silent_ms=None, reports_received=None,):
         self.config_version = config_version
         self.demand = demand
         self.evacuations_revision = evacuations_revision
         self.evacuated = evacuated
         self.store_silent_ms = store_silent_ms
+        self.reports_received = reports_received
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3719,6 +3722,11 @@
                     self.store_silent_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.reports_received = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3752,6 +3760,10 @@
             oprot.writeFieldBegin('store_silent_ms', TType.I32, 6)
             oprot.writeI32(self.store_silent_ms)
             oprot.writeFieldEnd()
+        if self.reports_received is not None:
+            oprot.writeFieldBegin('reports_received', TType.I64, 7)
+            oprot.writeI64(self.reports_received)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4421,6 +4433,7 @@
     (4, TType.I64, 'evacuations_revision', None, None, ),  # 4
     (5, TType.LIST, 'evacuated', (TType.STRING, 'UTF8', False), None, ),  # 5
     (6, TType.I32, 'store_silent_ms', None, None, ),  # 6
+    (7, TType.I64, 'reports_received', None, None, ),  # 7
 )
 all_structs.append(KnownEntry)
 KnownEntry.thrift_spec = (
--- a/thrift/azurepier.thrift
+++ b/thrift/azurepier.thrift
@@ -264,6 +264,9 @@
   4: i64 evacuations_revision
   5: list<string> evacuated // failure domains that take no new runs
   6: i32 store_silent_ms    // set while the sender gets nothing of the store
+  // RunsKnown and RunEnds received on this connection; older versions don't
+  // send it.
+  7: i64 reports_received
 }
 
 struct KnownEntry {
