Number starts above those that an endpoint process reports

What a caller sees: a job that is complete with the output of another job, possibly of another customer, or that fails because of another job's run.

Cause: an entry removes an endpoint process 5 s after the connection was lost (GIVE_UP_AFTER_S). When the same process returns, for example after a cut of 8 s, the entry knows it anew and numbered its starts from 1. The endpoint process still runs, or retains, starts with these numbers from before the cut and reports their outcomes, which the entry took for those of the new starts. The new start also replaced the old one under the same key on the endpoint.

Fix: the report that opens each session holds the highest number received and the numbers that the endpoint process still knows; the entry numbers above both. Starts are only sent after that report, so no number is used twice for a pair of incarnations while the endpoint process has a record of it.

Existing tests missed it: outcomes retained over a cut arrive before the first new start; only runs that outlast the cut show it.

--- a/azurepier/entry/_endpoints.py
+++ b/azurepier/entry/_endpoints.py
@@ -113,6 +113,9 @@
     view.free = msg.free
     view.long_free = msg.long_free
     node.dirty = True
+    # This entry may have removed the endpoint and know it anew, while the
+    # endpoint still reports outcomes under the earlier numbers.
+    view.next_seq = max([view.next_seq - 1, msg.highest, *msg.known]) + 1
     known = set(msg.known)
     for seq, task_start in list(view.open_starts.items()):
         if seq in known:
