Don't count starts of ended sessions as on their way

What a caller sees: jobs wait, up to their deadline, while an endpoint process is connected and idle.

Cause: an entry subtracts the starts that an endpoint process has not received yet from the free slots that it reports. Starts that were lost with a connection are never received, so they were subtracted in each heartbeat until a later start arrived. If as many starts were lost as the endpoint has slots, it counts as full, gets no start, and this doesn't end.

Fix: the report that opens a session settles all starts of the earlier ones. Only starts of the current session count as on their way.

Lost starts are normally sent again at once, which hides the fault unless another endpoint takes them or their job has ended.

--- a/azurepier/entry/_endpoints.py
+++ b/azurepier/entry/_endpoints.py
@@ -116,6 +116,7 @@
     # This entry may have removed the endpoint and know it anew, while the
     # endpoint still reports outcomes under the earlier numbers.
     view.next_seq = max([view.next_seq - 1, msg.highest, *msg.known]) + 1
+    view.settled_seq = view.next_seq - 1
     known = set(msg.known)
     for seq, task_start in list(view.open_starts.items()):
         if seq in known:
@@ -144,7 +145,7 @@
 def _update_capacity(view, msg):
     view.granted = msg.granted
     # Starts that the endpoint had not received when it sent the message.
-    in_flight = view.next_seq - 1 - msg.seen
+    in_flight = view.next_seq - 1 - max(msg.seen, view.settled_seq)
     view.free = msg.free - in_flight
     view.long_free = msg.long_free
 
--- a/azurepier/entry/_state.py
+++ b/azurepier/entry/_state.py
@@ -67,7 +67,9 @@
 class EndpointView:
     """One endpoint incarnation as this entry sees it.
 
-    `granted` and `sent` count ordinary starts of the current session.
+    `granted` and `sent` count ordinary starts of the current session. Starts
+    up to `settled_seq` belong to earlier sessions: they have arrived or never
+    will.
     `free` and `long_free` are the last reported numbers of free slots minus
     the starts sent since.
     """
@@ -85,6 +87,7 @@
     ready: bool = False
     leaving: bool = False
     next_seq: int = 1
+    settled_seq: int = 0
     open_starts: dict[int, OpenStart] = attrs.field(factory=dict)
     urgent_open_starts: int = 0  # number of urgent ones in `open_starts`
     granted: int = 0
--- a/azurepier/entry/tests/test_lost_memory.py
+++ b/azurepier/entry/tests/test_lost_memory.py
@@ -37,3 +37,19 @@
             answer = fleet.answer(0, req)
             assert isinstance(answer, kernel.Complete), answer
             testing.check_job(fleet, spec, answer)
+
+
+class TestLostStarts:
+    def test_do_not_occupy_slots(self):
+        # Guards against counting starts that were lost with a connection as
+        # on their way for ever, so that an idle endpoint gets no work.
+        fleet = testing.make_fleet(entries=1, speeds=(1.0,))
+        fleet.driver.silence(fleet.entries[0], fleet.endpoints[0])
+        fleet.submit(0, testing.spec([50] * 8, deadline_ms=1000))
+        _run(fleet, 5.0)
+        spec = testing.spec([50] * 8)
+        req = fleet.submit(0, spec)
+        _run(fleet, 2.0)
+        answer = fleet.answer(0, req)
+        assert isinstance(answer, kernel.Complete), answer
+        testing.check_job(fleet, spec, answer)
