Keep which starts of an entry have arrived

What a caller sees: tasks that run a second time after the machine of an entry was suspended or frozen for longer than a minute.

Cause: an endpoint process drops its record of an entry 60 s after the connection was lost. The first report after that said so (highest number -1), but each later one said 0, which proves that no start arrived. The entry's own limit of 5 s (GIVE_UP_AFTER_S) doesn't help: it counts from the last message that the entry has read, and a resumed process first reads what its connections had buffered. On a suspended machine its clock doesn't count.

Fix: the highest number is kept after the rest of the record is dropped, 4096 entry incarnations at a few bytes each. Once one of these numbers was evicted, an unknown entry gets -1 in each report until a start of it arrives. A record with running tasks is not dropped, so that these are reported as known.

--- a/azurepier/endpoint/_node.py
+++ b/azurepier/endpoint/_node.py
@@ -61,7 +61,11 @@
     link = node.links.get(hello.incarnation)
     if link is None:
         link = _state.Link(
-            hello.name, hello.incarnation, hello.address, now, highest_seq=-1
+            hello.name,
+            hello.incarnation,
+            hello.address,
+            now,
+            highest_seq=_retention.take_highest_seq(node, hello.incarnation),
         )
         node.links[hello.incarnation] = link
     elif link.conn is not None:
@@ -75,7 +79,6 @@
     _credits.distribute(node)
     _credits.give_fair_share(node, link)
     out.append(effects.Send(event.conn, _resume_report(node, link, now)))
-    link.highest_seq = max(link.highest_seq, 0)
     for outcomes in kernel.batches(link.unacked.values(), _tasks.output_size):
         out.append(_tasks.outcome_batch(node, link, outcomes, now))
     if node.draining:
--- a/azurepier/endpoint/_periodic.py
+++ b/azurepier/endpoint/_periodic.py
@@ -86,14 +86,7 @@
     names = [link.name for link in node.by_conn.values()]
     if names:
         membership.evict_stale(node.directory, names, now)
-    expired = [
-        incarnation
-        for incarnation, link in node.links.items()
-        if link.conn is None
-        and now - link.disconnected_at > _retention.OUTCOME_RETENTION_S
-    ]
-    for incarnation in expired:
-        del node.links[incarnation]
+    _retention.expire_links(node, now)
 
 
 def dial_entries(node, now):
--- a/azurepier/endpoint/_retention.py
+++ b/azurepier/endpoint/_retention.py
@@ -20,6 +20,9 @@
 # How long a job stays fenced (s). Job ids expire after ten minutes, so no task
 # of the job can arrive later.
 FENCE_RETENTION_S = 660.0
+# Number of former entry incarnations whose highest sequence number is kept,
+# which proves that starts above it never arrived.
+HIGHEST_SEQS_MAX = 4096
 
 
 def _create_record(start):
@@ -83,6 +86,40 @@
         del node.fenced_until[job_id]
 
 
+def expire_links(node, now):
+    """Remove the state of entries that have been disconnected for long.
+
+    The highest sequence numbers are kept, because an entry that was suspended
+    may return at any time and concludes from them what never arrived.
+    """
+    busy = {task.link.incarnation for task in node.running.values()}
+    expired = [
+        incarnation
+        for incarnation, link in node.links.items()
+        if link.conn is None
+        and now - link.disconnected_at > OUTCOME_RETENTION_S
+        and incarnation not in busy
+    ]
+    for incarnation in expired:
+        link = node.links.pop(incarnation)
+        node.highest_seqs[incarnation] = link.highest_seq
+    while len(node.highest_seqs) > HIGHEST_SEQS_MAX:
+        del node.highest_seqs[next(iter(node.highest_seqs))]
+        node.highest_seqs_evicted = True
+
+
+def take_highest_seq(node, incarnation):
+    """Return the highest sequence number received from an entry.
+
+    Returns
+    -------
+    int
+        0 if no start ever arrived, -1 if the record may have been evicted.
+    """
+    unknown = -1 if node.highest_seqs_evicted else 0
+    return node.highest_seqs.pop(incarnation, unknown)
+
+
 def _expired(deadlines, now):
     # Deadlines are in insertion order, which is also their order in time.
     due = collections.deque()
--- a/azurepier/endpoint/_state.py
+++ b/azurepier/endpoint/_state.py
@@ -43,8 +43,8 @@
 
     `granted` and `received` count ordinary starts of the current session;
     their difference is the entry's credit. `highest_seq` is the highest
-    sequence number received in any session; -1 in the first resume report says
-    that there is no record of earlier sessions. `slots_requested` is the
+    sequence number received in any session; -1 says that there may be no
+    record of earlier sessions, until a start arrives. `slots_requested` is the
     number of slots that the entry has requested and not received a credit for.
     `active` tells whether the entry dispatches new jobs.
     """
@@ -102,7 +102,8 @@
     `retained` holds the records of tasks by job id and task number, and
     `expires_at` the times at which those of ended tasks expire.
     `read_platform_after_s` is the time without a connected entry after which
-    the platform is read next.
+    the platform is read next. `highest_seqs` holds the highest sequence number
+    by entry incarnation after its `Link` was removed, the earliest first.
     """
 
     options: Options
@@ -114,6 +115,8 @@
     timers: kernel.Timers = attrs.field(factory=kernel.Timers)
     links: dict[str, Link] = attrs.field(factory=dict)
     by_conn: dict[int, Link] = attrs.field(factory=dict)
+    highest_seqs: dict[str, int] = attrs.field(factory=dict)
+    highest_seqs_evicted: bool = False
     running: dict[typing.Any, RunningTask] = attrs.field(factory=dict)
     retained: dict[str, dict[int, RetainedTask]] = attrs.field(factory=dict)
     retained_bytes: int = 0
--- a/azurepier/entry/tests/test_lost_memory.py
+++ b/azurepier/entry/tests/test_lost_memory.py
@@ -1,6 +1,11 @@
 """Tests of conclusions from records that the other side has dropped."""
 
+import pytest
+
+from azurepier.endpoint import _retention
 from azurepier import kernel
+from azurepier.kernel import effects
+from azurepier.kernel import events
 from azurepier import testing
 
 
@@ -39,6 +44,52 @@
             testing.check_job(fleet, spec, answer)
 
 
+def _is_tick(event):
+    return isinstance(event, events.Tick)
+
+
+def _freeze(fleet, process, seconds):
+    """Freeze a process; afterwards it reads its connections first.
+
+    So its records of when it last heard from others are recent, as they are
+    too when its machine was suspended and its clock didn't count.
+    """
+    fleet.driver.freeze(process)
+    _run(fleet, seconds)
+    process.inbox.sort(key=_is_tick)
+    fleet.driver.thaw(process)
+
+
+def _connect_again(fleet, dialer, address, count):
+    """Open several connections at once; each replaces the one before."""
+    dial = fleet.driver.effect_handlers[effects.Dial]
+    for _ in range(count):
+        dial(fleet.driver, dialer, effects.Dial(address))
+
+
+class TestForgottenEntry:
+    """An entry returns after an endpoint process has dropped its records."""
+
+    @pytest.mark.parametrize('records', [_retention.HIGHEST_SEQS_MAX, 0])
+    def test_replaced_connections_prove_nothing(self, records, monkeypatch):
+        # Guards against a second run: the report that said that the records
+        # were dropped is lost with its connection, and the next report says
+        # that the starts never arrived.
+        monkeypatch.setattr(_retention, 'HIGHEST_SEQS_MAX', records)
+        fleet = testing.make_fleet(entries=1, speeds=(1.0, 1.0))
+        entry = fleet.entries[0]
+        spec = testing.spec([4000] * 12, deadline_ms=200_000)
+        req = fleet.submit(0, spec)
+        _run(fleet, 0.2)
+        assert len(fleet.starts) == 12
+        _freeze(fleet, entry, 75.0)
+        for process in fleet.endpoints:
+            _connect_again(fleet, process, entry.address, 3)
+        _run(fleet, 20.0)
+        testing.check_no_double_start(fleet)
+        testing.check_job(fleet, spec, fleet.answer(0, req))
+
+
 class TestLostStarts:
     def test_do_not_occupy_slots(self):
         # Guards against counting starts that were lost with a connection as
