Don't take a connected entry for replaced

What a caller sees: a job that fails with owner-lost and may_have_run although its owner runs and is reachable, and its remaining tasks are fenced.

Cause: an entry took any other incarnation under the name of a known entry for the later one. A list from another process may be outdated, for example one from a peer that is cut off from the entry that restarted. An entry that first met the new process and then read such a list counted the new process as replaced for 600 s, even while it was connected to it, and recovered its jobs.

Fix: a connection goes before lists. A connected incarnation never counts as replaced, a list doesn't replace it, and a connection from an incarnation makes it the current one.

--- a/azurepier/entry/_peers.py
+++ b/azurepier/entry/_peers.py
@@ -170,9 +170,13 @@
     """Tell whether a newer incarnation has replaced the owner.
 
     An unknown incarnation doesn't count as replaced: it may belong to an
-    entry that has just started, so the request waits for it to connect.
+    entry that has just started, so the request waits for it to connect. Nor
+    does one that is connected, whatever lists of other processes say.
     """
-    return incarnation in node.former_incarnations
+    return (
+        incarnation in node.former_incarnations
+        and find_connection(node, incarnation) is None
+    )
 
 
 def _new_forward(node, waiter, msg, incarnation, now):
@@ -265,7 +269,22 @@
         return
     known = node.directory.known.get(info.name)
     if known is not None and known.info.incarnation != info.incarnation:
-        if info.incarnation in node.former_incarnations:
-            return  # stale list that names a former incarnation
+        if _is_outdated(node, known.info.incarnation, info.incarnation):
+            return
         node.former_incarnations[known.info.incarnation] = now
+        node.former_incarnations.pop(info.incarnation, None)
     membership.learn(node.directory, info, now)
+
+
+def _is_outdated(node, known, listed):
+    """Tell whether a list names an earlier incarnation than the known one.
+
+    Lists don't say which of two incarnations is the later one, but only a
+    running process has a connection.
+    """
+    if find_connection(node, listed) is not None:
+        return False
+    return (
+        listed in node.former_incarnations
+        or find_connection(node, known) is not None
+    )
--- a/azurepier/entry/tests/test_lost_memory.py
+++ b/azurepier/entry/tests/test_lost_memory.py
@@ -3,9 +3,11 @@
 import pytest
 
 from azurepier.endpoint import _retention
+from azurepier import jobs
 from azurepier import kernel
 from azurepier.kernel import effects
 from azurepier.kernel import events
+from azurepier import membership
 from azurepier import testing
 
 
@@ -104,3 +106,25 @@
         answer = fleet.answer(0, req)
         assert isinstance(answer, kernel.Complete), answer
         testing.check_job(fleet, spec, answer)
+
+
+class TestStaleMembers:
+    def test_live_owner_does_not_count_as_replaced(self):
+        # Guards against giving up the jobs of an entry that has restarted,
+        # because an outdated list names its process from before the restart.
+        fleet = testing.make_fleet()
+        stale = membership.entries(fleet.entries[0].node.directory)
+        killed = fleet.entries[1]
+        fleet.driver.kill(killed)
+        owner = fleet.add_entry(killed.name)
+        newcomer = fleet.add_entry('newcomer')
+        _run(fleet, 9.0)
+        fleet.driver.feed(newcomer, events.MembersSeen(stale))
+        _run(fleet, 1.0)
+        job_id = jobs.table.issue_ids(owner.node.table, 1, fleet.driver.now)[0]
+        spec = testing.spec([100] * 4)
+        index = fleet.entries.index(newcomer)
+        req = fleet.submit(index, spec, job_id)
+        _run(fleet, 10.0)
+        answer = fleet.answer(index, req)
+        assert isinstance(answer, kernel.Complete), answer
