Answer a GET of an unknown job with may_have_run

What a caller sees: GET of an issued id answers unknown-job with the verdict not_run, and the job runs a moment later.

Cause: the owner has no record of a job whose submission is still on its way, for example at an entry that waits up to 2 s for its connection to the owner. It took that for a proof that nothing ran and won't.

Fix: the verdict is may_have_run. The type stays, so the client library still submits the job again under the same id. Marking the id as used instead would make not_run true, but a GET would then stop the job. Ids that were never issued keep not_run, which their MAC proves.

--- a/azurepier/entry/_callers.py
+++ b/azurepier/entry/_callers.py
@@ -238,8 +238,9 @@
         )
     job = node.table.jobs.get(job_id)
     if job is None or job.spec.customer != customer:
+        # A submission may still be on its way, so this proves nothing.
         refusal = _check_id(node, parsed_id, job_id, now) or kernel.Refused(
-            job_id, 'unknown-job', kernel.Verdict.NOT_RUN, 'no such job'
+            job_id, 'unknown-job', kernel.Verdict.MAY_HAVE_RUN, 'no such job'
         )
         return [_outcomes.reply(waiter, refusal)]
     if job.answer is not None:
--- a/azurepier/entry/tests/test_lost_memory.py
+++ b/azurepier/entry/tests/test_lost_memory.py
@@ -128,3 +128,24 @@
         _run(fleet, 10.0)
         answer = fleet.answer(index, req)
         assert isinstance(answer, kernel.Complete), answer
+
+
+class TestUnknownJob:
+    def test_absence_proves_nothing(self):
+        # Guards against the verdict `not_run` for a job whose submission is
+        # still on its way to the owner.
+        fleet = testing.make_fleet()
+        owner, other = fleet.entries
+        spec = testing.spec([100] * 4)
+        job_id = fleet.new_id(0)
+        fleet.driver.partition(owner, other)
+        req = fleet.submit(1, spec, job_id)
+        _run(fleet, 0.5)
+        fetch = fleet.request(
+            0, lambda req: events.Fetch(req, job_id, 'ash', 0.0)
+        )
+        fleet.driver.heal(owner, other)
+        _run(fleet, 10.0)
+        assert isinstance(fleet.answer(1, req), kernel.Complete)
+        assert fleet.answer(0, fetch).type == 'unknown-job'
+        testing.check_job(fleet, spec, fleet.answer(0, fetch), job_id)
