Don't answer a repeated submission with expired

What a caller sees: the client library runs a job a second time after the machine of the client and its entry was suspended for over a minute.

Cause: an entry sends a forwarded submission again when its connection to the owner is back. If the first copy's answer was lost and is no longer retained (60 s), the owner answers expired. The client library takes that answer to its only submission for the proof that the id was too old, and submits the job under a new one, idempotent or not. A client that runs on has stopped waiting long before and then submits under the same id.

Fix: the forwarding entry knows that it sent the request twice and answers owner-lost (may_have_run), which the client library only repeats for idempotent jobs.

--- a/azurepier/entry/_peers.py
+++ b/azurepier/entry/_peers.py
@@ -1,5 +1,7 @@
 """Connections to other entries and forwarding of requests to them."""
 
+import attrs
+
 from azurepier.entry import _outcomes
 from azurepier.entry import _recovery
 from azurepier.entry import _state
@@ -198,6 +200,7 @@
 
 def _send_forward(forwarded, conn):
     forwarded.conn = conn
+    forwarded.repeated = forwarded.sent
     forwarded.sent = True
     return [effects.Send(conn, forwarded.msg)]
 
@@ -260,6 +263,14 @@
     node.timers.cancel(('owner_timeout', msg.query))
     _outcomes.unregister_waiter(node, forwarded.waiter)
     answer = jobs.answer_from_json(msg.body)
+    if forwarded.repeated and getattr(answer, 'type', '') == 'expired':
+        # The first copy may have used the id. To a caller that submitted once
+        # `expired` says that nobody did.
+        answer = attrs.evolve(
+            answer,
+            type='owner-lost',
+            detail='the answer was lost and is no longer retained',
+        )
     return [_outcomes.reply(forwarded.waiter, answer)]
 
 
--- a/azurepier/entry/_state.py
+++ b/azurepier/entry/_state.py
@@ -154,7 +154,8 @@
 
     `incarnation` is that of the other entry, and `conn` the connection on
     which the answer is expected, if any. `sent` stays true after the loss of
-    that connection: the other entry may have received the request.
+    that connection: the other entry may have received the request. `repeated`
+    tells whether it was sent again on a later connection.
     """
 
     query: int
@@ -164,6 +165,7 @@
     give_up_at: float
     conn: int | None = None
     sent: bool = False
+    repeated: bool = False
 
 
 @attrs.define
--- a/azurepier/entry/tests/test_lost_memory.py
+++ b/azurepier/entry/tests/test_lost_memory.py
@@ -149,3 +149,20 @@
         assert isinstance(fleet.answer(1, req), kernel.Complete)
         assert fleet.answer(0, fetch).type == 'unknown-job'
         testing.check_job(fleet, spec, fleet.answer(0, fetch), job_id)
+
+
+class TestForwardedTwice:
+    def test_used_id_does_not_count_as_unused(self):
+        # Guards against a second run by the client library, which submits a
+        # job again under a new id if the answer to its only submission says
+        # that the id had expired.
+        fleet = testing.make_fleet()
+        job_id = fleet.new_id(0)
+        spec = testing.spec([4000] * 4)
+        req = fleet.submit(1, spec, job_id)
+        _run(fleet, 0.05)
+        _freeze(fleet, fleet.entries[1], 75.0)
+        _run(fleet, 10.0)
+        answer = fleet.answer(1, req)
+        testing.check_job(fleet, spec, answer)
+        assert answer.type == 'owner-lost'
