Run azurepierd by a clock that counts suspensions

What a caller sees: after the machine of an entry was suspended, the entry uses leases of a limit that others have been given meanwhile, for up to 2 s; jobs that another entry has answered for go on once their fences are over.

Cause: Linux's monotonic clock, by which asyncio runs, stops during a suspension. Leases, the rule that a frozen entry drops its shares (azurepier.limits, stale_at), the limit of 5 s after which open starts count as lost and the deadlines of jobs were all measured by it, so that a resumed process took them for current. The others had waited by clocks that ran.

Evidence: by reading, and azurepier/daemon/tests/test_process.py::TestClock, which sets the time since the boot 100 s ahead of the monotonic clock; before the change the daemon's loop ran by the latter:

No machine was suspended.

Fix: the event loop of azurepierd reads CLOCK_BOOTTIME, as that of the adapter does (platform/adapter/_process.py). For the nodes a suspension is then a freeze, whose tests exist. Not changed: the client library, which runs in its callers' event loop.

--- a/azurepier/daemon/_main.py
+++ b/azurepier/daemon/_main.py
@@ -12,6 +12,7 @@
 from azurepier.daemon import _endpoint
 from azurepier.daemon import _entry
 from azurepier.daemon import _logs
+from azurepier.daemon import _loop
 from azurepier.daemon import _process
 from azurepier.daemon import _settings
 from azurepier.kernel import AzurepierError
@@ -65,7 +66,8 @@
     # installed.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
-        asyncio.run(_serve(start_process, settings))
+        with asyncio.Runner(loop_factory=_loop.BootTimeLoop) as runner:
+            runner.run(_serve(start_process, settings))
     except AzurepierError as exc:
         click.echo(str(exc), err=True)
         _logs.EventLog('azurepier.daemon').error(
--- a/azurepier/daemon/tests/test_process.py
+++ b/azurepier/daemon/tests/test_process.py
@@ -8,6 +8,7 @@
 import random
 import signal
 import sys
+import time
 
 import pytest
 
@@ -233,3 +234,34 @@
         _main._on_stop_signal(process)
         assert exit_codes == [1]
         await _process.drain_and_close(process)
+
+
+class TestClock:
+    @pytest.mark.skipif(
+        not hasattr(time, 'CLOCK_BOOTTIME'), reason='the clock of Linux'
+    )
+    def test_counts_a_suspension(self, monkeypatch):
+        """Guards against leases that are used after a suspension.
+
+        The monotonic clock stops while the machine is suspended; the time
+        since the boot doesn't.
+        """
+        suspended_s = 100.0
+        seen = []
+
+        async def start(settings, rng):
+            loop = asyncio.get_running_loop()
+            seen.append(loop.time() - time.monotonic())
+            raise SettingsError('stop here')
+
+        def clock_gettime(clock):
+            stopped = clock == time.CLOCK_MONOTONIC
+            return time.monotonic() + (0.0 if stopped else suspended_s)
+
+        monkeypatch.setattr(time, 'clock_gettime', clock_gettime)
+        monkeypatch.setattr(_settings, 'load', lambda *args: entry_settings())
+        monkeypatch.setattr(_main._logs, 'configure', lambda *args: None)
+        monkeypatch.setattr(signal, 'signal', lambda *args: None)
+        with pytest.raises(SystemExit):
+            _main._run(_settings.EntrySettings, start, 'settings.toml')
+        assert seen == [pytest.approx(suspended_s, abs=1.0)]
