Count a start with an unreadable outcome as lost

What a caller sees: a job that ran is answered at its deadline with the verdict not_run.

Cause: an entry removes a start from its records and then reads the status of its outcome. A status that it doesn't know, for example from a later version, made the handler fail in between. The start was gone then, the next session couldn't bring it back, and a job without open starts counts as not run.

Fix: an unknown status counts as LOST (may_have_run). The outcomes DONE and FAILED mark the job as possibly run before anything else is done with them, so that a failure of the rest of their handlers can't lose this.

--- a/azurepier/entry/_outcomes.py
+++ b/azurepier/entry/_outcomes.py
@@ -93,16 +93,18 @@
     del job.open_starts[task_start.task]
     limits.record_end(node.limits, job.spec.customer, now)
     node.dirty = True
-    status = Status(outcome.status)
+    # A later version may report a status that this one doesn't know.
+    status = _STATUSES.get(outcome.status, Status.LOST)
     return _STATUS_HANDLERS[status](node, task_start, outcome, now)
 
 
 def _on_done(node, task_start, outcome, now):
     job = task_start.job
+    # Set first: if this handler fails, the start is not open any more.
+    job.may_have_run = True
     _update_estimates(node, task_start, outcome, now)
     if job.answer is not None:
         return []
-    job.may_have_run = True
     jobs.table.store_output(node.table, job, task_start.task, outcome.output)
     if job.output_bytes > kernel.MAX_ANSWER_BYTES:
         detail = f'the outputs exceed {kernel.MAX_ANSWER_BYTES} bytes'
@@ -146,8 +148,8 @@
 
 def _on_failed(node, task_start, outcome, now):
     job = task_start.job
-    out = _record_failure(node, task_start, now)
     job.may_have_run = True
+    out = _record_failure(node, task_start, now)
     error = outcome.output.decode(errors='replace')
     detail = f'task {task_start.task} failed: {error}'
     return out + fail_job(node, job, 'task-failed', Verdict.RAN, detail, now)
@@ -209,6 +211,8 @@
     return fail_job(node, job, 'deadline', Verdict.MAY_HAVE_RUN, detail, now)
 
 
+_STATUSES = {int(status): status for status in Status}
+
 _STATUS_HANDLERS = {
     Status.DONE: _on_done,
     Status.FAILED: _on_failed,
--- a/azurepier/entry/tests/test_lost_memory.py
+++ b/azurepier/entry/tests/test_lost_memory.py
@@ -7,6 +7,7 @@
 from azurepier import kernel
 from azurepier.kernel import effects
 from azurepier.kernel import events
+from azurepier.kernel import messages
 from azurepier import membership
 from azurepier import testing
 
@@ -166,3 +167,25 @@
         answer = fleet.answer(1, req)
         testing.check_job(fleet, spec, answer)
         assert answer.type == 'owner-lost'
+
+
+class TestUnknownStatus:
+    def test_start_counts_as_lost(self):
+        # Guards against the verdict `not_run` for a task that ran: its start
+        # is settled by an outcome that this version can't read.
+        fleet = testing.make_fleet(entries=1, speeds=(1.0,))
+        entry = fleet.entries[0]
+        entry.recover = lambda node, now: []  # as the shell of the daemon
+        spec = testing.spec([500], deadline_ms=2000)
+        req = fleet.submit(0, spec)
+        _run(fleet, 0.1)
+        (view,) = entry.node.by_conn.values()
+        (seq,) = view.open_starts
+        outcome = messages.Outcome(seq=seq, status=99, output=b'', run_ms=0)
+        batch = messages.OutcomeBatch(
+            outcomes=[outcome], granted=0, free=0, long_free=0, seen=seq
+        )
+        fleet.driver.feed(entry, events.Received(view.conn, batch))
+        _run(fleet, 5.0)
+        testing.check_job(fleet, spec, fleet.answer(0, req))
+        assert fleet.answer(0, req).type == 'task-lost'
