--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -225,11 +225,14 @@
         # results of runs that were already given up.
         frozen = ready.endpoints[0]
         ids, owner, _ = _new_ids(ready, 60)
+        views = owner.status()['endpoints']
         futures = _submit_jobs(ready, owner, ids[:30], _make_job(500, 2))
         has_started_tasks = functools.partial(
             _count_started, ready, ids, frozen.name
         )
-        _wait_until(has_started_tasks, 'the endpoint starts tasks')
+        _wait_until(
+            has_started_tasks, f'the endpoint starts tasks; before: {views}'
+        )
         frozen.child.send_signal(signal.SIGSTOP)
         try:
             resume_at = time.monotonic() + _FREEZE_S
