Test more faults of connections on the small fleet

The random sequences had no run that outlasts a cut, no connections that replace each other at once, and resumed processes handled their timers before what they had received. Cuts last 0.1 to 30 s now.

--- a/azurepier/entry/tests/test_lost_memory.py
+++ b/azurepier/entry/tests/test_lost_memory.py
@@ -1,7 +1,5 @@
 """Tests of conclusions from records that the other side has dropped."""
 
-import pytest
-
 from azurepier.endpoint import _retention
 from azurepier import jobs
 from azurepier import kernel
@@ -73,12 +71,10 @@
 class TestForgottenEntry:
     """An entry returns after an endpoint process has dropped its records."""
 
-    @pytest.mark.parametrize('records', [_retention.HIGHEST_SEQS_MAX, 0])
-    def test_replaced_connections_prove_nothing(self, records, monkeypatch):
+    def test_replaced_connections_prove_nothing(self):
         # Guards against a second run: the report that said that the records
         # were dropped is lost with its connection, and the next report says
         # that the starts never arrived.
-        monkeypatch.setattr(_retention, 'HIGHEST_SEQS_MAX', records)
         fleet = testing.make_fleet(entries=1, speeds=(1.0, 1.0))
         entry = fleet.entries[0]
         spec = testing.spec([4000] * 12, deadline_ms=200_000)
@@ -92,6 +88,12 @@
         testing.check_no_double_start(fleet)
         testing.check_job(fleet, spec, fleet.answer(0, req))
 
+    def test_evicted_records_prove_nothing(self, monkeypatch):
+        # Guards against the same if there were too many entries to keep even
+        # the highest number of each.
+        monkeypatch.setattr(_retention, 'HIGHEST_SEQS_MAX', 0)
+        self.test_replaced_connections_prove_nothing()
+
 
 class TestLostStarts:
     def test_do_not_occupy_slots(self):
--- a/azurepier/entry/tests/test_machine.py
+++ b/azurepier/entry/tests/test_machine.py
@@ -4,6 +4,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
+from azurepier.kernel import effects
 from azurepier.kernel import events
 from azurepier import testing
 
@@ -42,7 +43,7 @@
 
     @stateful.rule(
         index=st.integers(0, ENTRIES - 1),
-        times_ms=st.lists(st.sampled_from([30, 200, 900]), max_size=5),
+        times_ms=st.lists(st.sampled_from([30, 200, 900, 9000]), max_size=5),
         urgent=st.booleans(),
     )
     def submit(self, index, times_ms, urgent):
@@ -97,28 +98,46 @@
     @stateful.rule(
         index=st.integers(0, ENTRIES + ENDPOINTS - 1),
         seconds=st.sampled_from([0.3, 2.0, 6.0, 20.0]),
+        reads_first=st.booleans(),
     )
-    def freeze(self, index, seconds):
+    def freeze(self, index, seconds, reads_first):
         process = (self.fleet.entries + self.fleet.endpoints)[index]
         if process.alive and not process.frozen:
             self.driver.freeze(process)
-            self.driver.after(seconds, self._thaw, process)
+            self.driver.after(seconds, self._thaw, process, reads_first)
 
-    def _thaw(self, process):
+    def _thaw(self, process, reads_first):
+        if reads_first:
+            # As an event loop does: connections go before timers.
+            process.inbox.sort(key=lambda e: isinstance(e, events.Tick))
         if process.frozen:
             self.driver.thaw(process)
 
+    @stateful.rule(
+        index=st.integers(0, ENTRIES - 1),
+        dialer=st.integers(0, ENTRIES + ENDPOINTS - 1),
+        count=st.integers(1, 3),
+    )
+    def replace_connections(self, index, dialer, count):
+        process = (self.fleet.entries + self.fleet.endpoints)[dialer]
+        entry = self.fleet.entries[index]
+        dial = effects.Dial(entry.address)
+        for _ in range(count if process is not entry else 0):
+            self.driver.effect_handlers[effects.Dial](
+                self.driver, process, dial
+            )
+
     @stateful.rule(
         first=st.integers(0, ENTRIES - 1),
         second=st.integers(0, ENTRIES + ENDPOINTS - 1),
-        lasting=st.booleans(),
+        lasting_s=st.sampled_from([0.0, 0.1, 3.0, 10.0, 30.0]),
     )
-    def lose_connection(self, first, second, lasting):
+    def lose_connection(self, first, second, lasting_s):
         entry = self.fleet.entries[first]
         peer = (self.fleet.entries + self.fleet.endpoints)[second]
-        if lasting:
+        if lasting_s:
             self.driver.partition(entry, peer)
-            self.driver.after(10.0, self.driver.heal, entry, peer)
+            self.driver.after(lasting_s, self.driver.heal, entry, peer)
         else:
             self.driver.silence(entry, peer)
 
--- a/azurepier/entry/tests/test_mechanisms.py
+++ b/azurepier/entry/tests/test_mechanisms.py
@@ -11,12 +11,15 @@
 from azurepier.endpoint import _retention
 from azurepier.entry import _acceptance
 from azurepier.entry import _callers
+from azurepier.entry import _node as entry_node
 from azurepier.entry import _outcomes
 from azurepier.entry.tests import test_faults as faults
 from azurepier.entry.tests import test_invariants as invariants
+from azurepier.entry.tests import test_lost_memory as lost_memory
 from azurepier.jobs import _recovery
 from azurepier.jobs import _table
 from azurepier import kernel
+from azurepier.kernel import messages
 from azurepier.placement import _breaker
 
 Status = kernel.Status
@@ -92,12 +95,27 @@
     patch.setattr(_retention, 'fence', lambda *args: None)
 
 
+def _no_highest_seqs(patch):
+    patch.setattr(_retention, 'take_highest_seq', lambda *args: 0)
+
+
+def _no_settled_starts(patch):
+    def report(node, view, msg, now):
+        out = original(node, view, msg, now)
+        view.settled_seq = 0
+        return out
+
+    original = entry_node._ENDPOINT_MESSAGES[messages.ResumeReport]
+    patch.setitem(entry_node._ENDPOINT_MESSAGES, messages.ResumeReport, report)
+
+
 _PROOF = invariants.TestProofOfNotRun()
 _SUBMISSION = invariants.TestSubmission()
 _RECOVERY = invariants.TestRecovery()
 _WORKER = faults.TestFailingWorker()
 _IMPOSSIBLE = faults.TestImpossibleJob()
 _DRAIN = faults.TestDrain()
+_FORGOTTEN = lost_memory.TestForgottenEntry()
 
 MECHANISMS = {
     'lost tasks are not sent again': (
@@ -140,6 +158,14 @@
         _unverified_recovery,
         _RECOVERY.test_other_content_is_refused,
     ),
+    'highest numbers are kept after the outcomes': (
+        _no_highest_seqs,
+        _FORGOTTEN.test_replaced_connections_prove_nothing,
+    ),
+    'a report settles the starts of earlier sessions': (
+        _no_settled_starts,
+        lost_memory.TestLostStarts().test_do_not_occupy_slots,
+    ),
     'recovery fences the job': (
         _no_fencing,
         _RECOVERY.test_nothing_starts_after_the_recovered_answer,
