Stop runs that were given up when their endpoint returns

What a caller sees: less room than there is, after a cut of over 5 s.

Cause: an entry gives up the runs of an endpoint process 5 s after the connection was lost and answers their jobs. When the process returned, still running them, the entry had no record of them and left them alone, up to the deadline of their jobs and 1 s.

Fix: the entry cancels every start that the endpoint process reports and that it doesn't wait for. For starts that have ended this does nothing.

--- a/azurepier/entry/_endpoints.py
+++ b/azurepier/entry/_endpoints.py
@@ -127,8 +127,10 @@
         never_received = 0 <= msg.highest < seq
         status = Status.REFUSED if never_received else Status.LOST
         out += _settle_inferred(node, task_start, status, now)
-    for seq, task_start in view.open_starts.items():
-        if task_start.job.answer is not None:
+    for seq in msg.known:
+        # Runs that this entry has given up have no open start.
+        task_start = view.open_starts.get(seq)
+        if task_start is None or task_start.job.answer is not None:
             view.pending_cancels.append(seq)
     view.ready = True
     node.timers.cancel(('endpoint_expired', view.incarnation))
--- a/azurepier/entry/tests/test_lost_memory.py
+++ b/azurepier/entry/tests/test_lost_memory.py
@@ -44,6 +44,17 @@
             assert isinstance(answer, kernel.Complete), answer
             testing.check_job(fleet, spec, answer)
 
+    def test_runs_that_were_given_up_are_stopped(self):
+        # Guards against slots that are occupied, up to the deadline, by runs
+        # whose jobs have been answered.
+        fleet = testing.make_fleet(entries=1, speeds=(1.0,))
+        req = fleet.submit(0, testing.spec([25_000] * 6, deadline_ms=60_000))
+        _run(fleet, 0.1)
+        _cut(fleet, 8.0)
+        assert fleet.answer(0, req).type == 'task-lost'
+        _run(fleet, 2.0)
+        assert not fleet.endpoints[0].node.running
+
 
 def _is_tick(event):
     return isinstance(event, events.Tick)
