Answer requests between entries that can't be read

What a caller sees: while entries of two versions run, a request that never ends, and other requests that go over the same connection and are delayed.

Cause: an unknown action or body made the handler fail, which ends the connection. The other entry sent the request again on the next one. An answer that couldn't be read was lost after its request had been forgotten.

Fix: the codec raises InvalidInputError for all of these; the request is answered, and the caller is told, with internal and may_have_run. The new counter unreadable_forwards shows such requests.

--- a/azurepier/entry/_forwarded.py
+++ b/azurepier/entry/_forwarded.py
@@ -1,6 +1,7 @@
 """Requests of callers that another entry forwarded."""
 
 from azurepier.entry import _callers
+from azurepier.entry import _outcomes
 from azurepier.entry import _peers
 from azurepier.entry import _recovery
 from azurepier.entry import _state
@@ -9,9 +10,26 @@
 
 
 def on_forward(node, peer, msg, now):
-    """Handle a forwarded request; its answer goes back to the peer."""
+    """Handle a forwarded request; its answer goes back to the peer.
+
+    A request that can't be read, for example from a later version, is
+    answered too: after a failure the peer would send it again on its next
+    connection.
+    """
     waiter = _state.Waiter(conn=peer.conn, query=msg.query)
-    return _FORWARD_HANDLERS[msg.action](node, waiter, msg, now)
+    handler = _FORWARD_HANDLERS.get(msg.action, _refuse_unknown)
+    try:
+        return handler(node, waiter, msg, now)
+    except kernel.InvalidInputError as exc:
+        node.count('unreadable_forwards')
+        answer = kernel.Refused(
+            msg.job_id, 'internal', kernel.Verdict.MAY_HAVE_RUN, str(exc)
+        )
+        return [_outcomes.reply(waiter, answer)]
+
+
+def _refuse_unknown(node, waiter, msg, now):
+    raise kernel.InvalidInputError('action', f'unknown: {msg.action!r:.80}')
 
 
 def _submit(node, waiter, msg, now):
--- a/azurepier/entry/_peers.py
+++ b/azurepier/entry/_peers.py
@@ -262,7 +262,15 @@
         return []
     node.timers.cancel(('owner_timeout', msg.query))
     _outcomes.unregister_waiter(node, forwarded.waiter)
-    answer = jobs.answer_from_json(msg.body)
+    try:
+        answer = jobs.answer_from_json(msg.body)
+    except kernel.InvalidInputError as exc:
+        answer = kernel.Refused(
+            forwarded.msg.job_id,
+            'internal',
+            kernel.Verdict.MAY_HAVE_RUN,
+            str(exc),
+        )
     if forwarded.repeated and getattr(answer, 'type', '') == 'expired':
         # The first copy may have used the id. To a caller that submitted once
         # `expired` says that nobody did.
--- a/azurepier/entry/tests/test_lost_memory.py
+++ b/azurepier/entry/tests/test_lost_memory.py
@@ -202,3 +202,41 @@
         _run(fleet, 5.0)
         testing.check_job(fleet, spec, fleet.answer(0, req))
         assert fleet.answer(0, req).type == 'task-lost'
+
+
+class TestUnreadableForward:
+    """Requests and answers of another entry, of a later version."""
+
+    def _submit_elsewhere(self, fleet):
+        job_id = fleet.new_id(0)
+        req = fleet.submit(1, testing.spec([2000]), job_id)
+        _run(fleet, 0.1)
+        return req
+
+    def test_request_is_refused(self):
+        # Guards against a connection between two entries that ends each time
+        # the request is sent again.
+        fleet = testing.make_fleet()
+        (peer,) = fleet.entries[0].node.peers.values()
+        for query, changes in enumerate(({'action': 'x'}, {'body': b'{}'})):
+            fields = {'query': query + 1000, 'job_id': fleet.new_id(0)}
+            fields |= {'action': 'submit', 'customer': 'ash', 'body': b'[]'}
+            fields |= {'wait_ms': 0, 'hops': 1, 'detach': False, 'count': 0}
+            request = messages.Forward(**fields | changes)
+            before = fleet.driver.sent.get('ForwardAnswer', 0)
+            fleet.driver.feed(
+                fleet.entries[0], events.Received(peer.conn, request)
+            )
+            assert fleet.driver.sent['ForwardAnswer'] == before + 1
+
+    def test_caller_is_told_that_the_job_may_have_run(self):
+        # Guards against a caller that waits for an answer that has come.
+        fleet = testing.make_fleet()
+        req = self._submit_elsewhere(fleet)
+        node = fleet.entries[1].node
+        (query,) = node.forwards
+        (peer,) = node.peers.values()
+        answer = messages.ForwardAnswer(query=query, body=b'["later",{}]')
+        fleet.driver.feed(fleet.entries[1], events.Received(peer.conn, answer))
+        assert fleet.answer(1, req).type == 'internal'
+        assert fleet.answer(1, req).verdict is kernel.Verdict.MAY_HAVE_RUN
--- a/azurepier/jobs/_codec.py
+++ b/azurepier/jobs/_codec.py
@@ -23,9 +23,28 @@
     ).encode()
 
 
+_UNREADABLE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
+
+
+def _read(field, reader, body):
+    try:
+        return reader(json.loads(body))
+    except _UNREADABLE_ERRORS as exc:
+        raise kernel.InvalidInputError(field, f'unreadable: {exc!r}') from exc
+
+
 def spec_from_json(body):
-    """Return the `JobSpec` encoded by `spec_to_json`."""
-    data = json.loads(body)
+    """Return the `JobSpec` encoded by `spec_to_json`.
+
+    Raises
+    ------
+    InvalidInputError
+        If it was not encoded by this version.
+    """
+    return _read('spec', _spec_from_data, body)
+
+
+def _spec_from_data(data):
     data['tasks'] = tuple(
         kernel.TaskSpec(kind, payload.encode(), duration_ms, size)
         for kind, payload, duration_ms, size in data['tasks']
@@ -94,6 +113,16 @@
 
 
 def answer_from_json(body):
-    """Return the answer encoded by `answer_to_json`."""
-    name, data = json.loads(body)
-    return _CODECS[name][2](data)
+    """Return the answer encoded by `answer_to_json`.
+
+    Raises
+    ------
+    InvalidInputError
+        If it was not encoded by this version.
+    """
+    return _read('answer', _answer_from_data, body)
+
+
+def _answer_from_data(data):
+    name, fields = data
+    return _CODECS[name][2](fields)
