Connect again during the drain of an endpoint process

What a caller sees: task-lost for tasks that ended, after a connection was lost or silent for a moment during a rolling restart.

Cause: a draining endpoint process opened no connections, so that an entry gave up all its runs 5 s after a connection was lost. At the end of the last run it only waited for acknowledgements of connected entries and stopped with the outcomes for the others.

Fix: while entries that were connected in the last 5 s wait for runs or outcomes, it connects to them again, and it waits up to 3 s (ACK_WAIT_S) after the last run for their acknowledgements. Without an entry that answers, a drain ends up to 3 s later than before.

--- a/azurepier/endpoint/_drain.py
+++ b/azurepier/endpoint/_drain.py
@@ -2,6 +2,7 @@
 
 from azurepier.kernel import effects
 from azurepier.kernel import messages
+from azurepier import membership
 
 # How long a drain waits for entries to acknowledge the last outcomes (s).
 ACK_WAIT_S = 3.0
@@ -33,11 +34,38 @@
     """Stop once all tasks have ended and their outcomes are acknowledged."""
     if not node.draining or node.running:
         return []
-    if any(link.unacked for link in node.by_conn.values()):
+    if any(link.unacked for link in _awaited_links(node, now)):
         return []
     return stop(node)
 
 
+def _awaited_links(node, now):
+    """Return the entries that may still wait for outcomes."""
+    return [
+        link
+        for link in node.links.values()
+        if link.conn is not None
+        or now - link.disconnected_at < membership.GIVE_UP_AFTER_S
+    ]
+
+
+def on_run_ended(node, now):
+    """Stop after the last run once its outcome is acknowledged."""
+    if node.draining and not node.running:
+        node.timers.set('acks', now + ACK_WAIT_S)
+    return stop_if_drained(node, now)
+
+
+def addresses_to_dial(node, now):
+    """Return the addresses of lost entries that wait for runs or outcomes."""
+    busy = {task.link.incarnation for task in node.running.values()}
+    return [
+        link.address
+        for link in _awaited_links(node, now)
+        if link.conn is None and (link.unacked or link.incarnation in busy)
+    ]
+
+
 def stop(node):
     """End the drain; the process exits."""
     if node.stopped:
--- a/azurepier/endpoint/_periodic.py
+++ b/azurepier/endpoint/_periodic.py
@@ -89,17 +89,24 @@
     _retention.expire_links(node, now)
 
 
-def dial_entries(node, now):
-    """Return the effects that open missing connections to entries."""
+def _addresses_to_dial(node, now):
     if node.draining:
-        return []
+        return _drain.addresses_to_dial(node, now)
     wanted = membership.choose_entries(
         node.directory, node.options.name, node.options.domain
     )
+    return [info.address for info in wanted]
+
+
+def dial_entries(node, now):
+    """Return the effects that open missing connections to entries."""
+    addresses = _addresses_to_dial(node, now)
+    if node.draining and not addresses:
+        return []  # no addresses would mean the seeds
     connected = {link.address for link in node.by_conn.values()}
     due = membership.due_dials(
         node.directory,
-        [info.address for info in wanted],
+        addresses,
         connected,
         now,
         node.rng,
--- a/azurepier/endpoint/_tasks.py
+++ b/azurepier/endpoint/_tasks.py
@@ -162,7 +162,7 @@
     return (
         out
         + _credits.grant_effects(node, to_notify, now)
-        + _drain.stop_if_drained(node, now)
+        + _drain.on_run_ended(node, now)
     )
 
 
--- a/azurepier/entry/tests/test_lost_memory.py
+++ b/azurepier/entry/tests/test_lost_memory.py
@@ -240,3 +240,42 @@
         fleet.driver.feed(fleet.entries[1], events.Received(peer.conn, answer))
         assert fleet.answer(1, req).type == 'internal'
         assert fleet.answer(1, req).verdict is kernel.Verdict.MAY_HAVE_RUN
+
+
+class TestDrainOverCut:
+    def test_runs_end_after_a_lost_connection(self):
+        # Guards against a leaving endpoint process that doesn't connect again,
+        # so that its runs are given up although they end.
+        fleet = testing.make_fleet(entries=1, speeds=(1.0,))
+        spec = testing.spec([6000] * 3, deadline_ms=30_000)
+        req = fleet.submit(0, spec)
+        _run(fleet, 0.1)
+        fleet.driver.feed(fleet.endpoints[0], events.Drain())
+        _cut(fleet, 2.0)
+        _run(fleet, 10.0)
+        assert isinstance(fleet.answer(0, req), kernel.Complete)
+        assert fleet.endpoints[0].stopped
+
+    def test_outcome_of_the_last_run_is_kept(self):
+        # Guards against a leaving endpoint process that stops while an entry
+        # that waits for an outcome is cut off for a moment.
+        fleet = testing.make_fleet(entries=1, speeds=(1.0,))
+        spec = testing.spec([1700] * 3, deadline_ms=30_000)
+        req = fleet.submit(0, spec)
+        _run(fleet, 0.1)
+        fleet.driver.feed(fleet.endpoints[0], events.Drain())
+        _cut(fleet, 2.0)
+        _run(fleet, 10.0)
+        assert isinstance(fleet.answer(0, req), kernel.Complete)
+        assert fleet.endpoints[0].stopped
+
+    def test_entry_that_is_gone_delays_the_stop_little(self):
+        # Guards against a leaving endpoint process that waits for an entry
+        # that never returns.
+        fleet = testing.make_fleet(entries=1, speeds=(1.0,))
+        fleet.submit(0, testing.spec([1000] * 3, deadline_ms=30_000))
+        _run(fleet, 0.1)
+        fleet.driver.feed(fleet.endpoints[0], events.Drain())
+        fleet.driver.kill(fleet.entries[0])
+        _run(fleet, 8.0)
+        assert fleet.endpoints[0].stopped
