Never send a submission without an id twice

What a caller sees: one POST /v1/jobs runs the job two times, under two ids.

Cause: an entry that isn't the leader forwards a submission without an id, and the leader issues one. When the connection between them was lost, the entry sent all its open requests again on the next one. That is right for requests with an id, which join the first copy, but here the leader took the copy for another job.

Keeping which request got which id at the leader would save the answer, but it would have to be kept for as long as an entry may be frozen.

Tests missed it because they count starts by job id.

--- a/azurepier/entry/_peers.py
+++ b/azurepier/entry/_peers.py
@@ -53,7 +53,12 @@
     _update_limits(node, now)
     out = [effects.Record('entry_disconnected', detail=peer.name)]
     for forwarded in list(node.forwards.values()):
-        if forwarded.conn == peer.conn:
+        if forwarded.conn != peer.conn:
+            continue
+        if _starts_anew(forwarded.msg):
+            del node.forwards[forwarded.query]
+            out += _reply_leader_lost(node, forwarded, now)
+        else:
             forwarded.conn = None
             forwarded.give_up_at = now + OWNER_TIMEOUT_S
             _set_owner_timer(node, forwarded)
@@ -64,6 +69,11 @@
     return out
 
 
+def _starts_anew(msg):
+    """Tell whether a second copy of a request would start a second job."""
+    return msg.action == 'submit' and not msg.job_id
+
+
 def _drop_remote_waiters(node, conn):
     for job in node.table.jobs.values():
         if job.waiters:
--- a/azurepier/entry/tests/test_lost_memory.py
+++ b/azurepier/entry/tests/test_lost_memory.py
@@ -279,3 +279,19 @@
         fleet.driver.kill(fleet.entries[0])
         _run(fleet, 8.0)
         assert fleet.endpoints[0].stopped
+
+
+class TestSubmissionWithoutId:
+    def test_is_not_sent_to_the_leader_again(self):
+        # Guards against a second run: the leader can't tell a copy of a
+        # submission without an id from another job.
+        fleet = testing.make_fleet()
+        spec = testing.spec([300] * 3)
+        req = fleet.submit(1, spec)
+        _run(fleet, 0.1)
+        fleet.driver.silence(*fleet.entries)
+        _run(fleet, 20.0)
+        assert len(fleet.starts) == 3
+        answer = fleet.answer(1, req)
+        assert answer.type == 'owner-lost'
+        assert answer.verdict is kernel.Verdict.MAY_HAVE_RUN
