--- a/azurepier/entry/tests/test_plays.py
+++ b/azurepier/entry/tests/test_plays.py
@@ -4,15 +4,19 @@
 work meets what is left of the work before a fault.
 """
 
+import collections
+import json
 import random
 
 import attrs
 import pytest
 
+from azurepier import kernel
 from azurepier.kernel import effects
 from azurepier.kernel import events
 from azurepier import testing
 
+Verdict = kernel.Verdict
 LOAD_S = 120.0
 # Longer than the longest deadline and all faults.
 QUIET_PERIOD_S = 300.0
@@ -31,6 +35,8 @@
     fleet: testing.Fleet
     jobs: list = attrs.field(factory=list)  # (job id, spec)
     requests: list = attrs.field(factory=list)  # (entry, req, job id, spec)
+    # Starts by kind and task; jobs without an id have a kind of their own.
+    starts: collections.Counter = attrs.field(factory=collections.Counter)
 
     @property
     def driver(self):
@@ -46,19 +52,35 @@
             req = self.fleet.submit(index, spec, job_id)
             self.requests.append((entry, req, job_id, spec))
 
+    def run_time(self, start):
+        """Count a start and return the run time of its task (s)."""
+        if start.kind != 'sleep':
+            self.starts[start.kind, start.task] += 1
+        return json.loads(start.payload)['ms'] / 1000
 
-def _submit(play):
+
+def _make_spec(play, **options):
     rng = play.rng
-    index = rng.randrange(len(play.fleet.entries))
-    entry = play.fleet.entries[index]
     times_ms = [rng.choice(RUN_TIMES_MS) for _ in range(rng.randint(1, 4))]
     # Makes the outputs of each job different from those of the others.
-    times_ms[0] += len(play.jobs)
-    spec = testing.spec(
+    times_ms[0] += len(play.jobs) + len(play.requests)
+    return testing.spec(
         times_ms,
         deadline_ms=rng.choice(DEADLINES_MS),
         urgent=rng.random() < 0.2,
+        **options,
     )
+
+
+def _submit_without_id(play):
+    index = play.rng.randrange(len(play.fleet.entries))
+    play.put(index, None, _make_spec(play, kind=f'job-{len(play.requests)}'))
+
+
+def _submit(play):
+    index = play.rng.randrange(len(play.fleet.entries))
+    entry = play.fleet.entries[index]
+    spec = _make_spec(play)
     req = play.fleet.request(index, lambda req: events.NewIds(req, 1))
 
     def put():
@@ -140,7 +162,8 @@
 
 
 WEIGHTS = {
-    _submit: 16,
+    _submit: 12,
+    _submit_without_id: 4,
     _resubmit: 4,
     _freeze: 2.5,
     _cut_pair: 3,
@@ -163,6 +186,7 @@
         delays_s = (0.0005, 0.0005, 0.003, 0.05, 0.2, 0.6)
         fleet.driver.delay = lambda sender, receiver: rng.choice(delays_s)
     play = _Play(rng, fleet)
+    fleet.run_time = play.run_time
     at = fleet.driver.now
     end = at + LOAD_S
     actions, weights = list(WEIGHTS), list(WEIGHTS.values())
@@ -181,7 +205,11 @@
         # and callers without an answer.
         play = _run(seed)
         testing.check_no_double_start(play.fleet)
+        assert not play.starts or max(play.starts.values()) == 1
         for entry, req, job_id, spec in play.requests:
             _, answer = play.driver.answers.get((entry.name, req), (0, None))
             testing.check_job(play.fleet, spec, answer, job_id)
             assert answer is not None or not entry.alive
+            if getattr(answer, 'verdict', None) is Verdict.NOT_RUN:
+                kind = spec.tasks[0].kind
+                assert not any(key[0] == kind for key in play.starts)
