--- a/azurepier/entry/_endpoints.py
+++ b/azurepier/entry/_endpoints.py
@@ -113,6 +113,10 @@
     view.free = msg.free
     view.long_free = msg.long_free
     node.dirty = True
+    # This entry may have removed the endpoint and know it anew, while the
+    # endpoint still reports outcomes under the earlier numbers.
+    view.next_seq = max([view.next_seq - 1, msg.highest, *msg.known]) + 1
+    view.settled_seq = view.next_seq - 1
     known = set(msg.known)
     for seq, task_start in list(view.open_starts.items()):
         if seq in known:
@@ -123,8 +127,10 @@
         never_received = 0 <= msg.highest < seq
         status = Status.REFUSED if never_received else Status.LOST
         out += _settle_inferred(node, task_start, status, now)
-    for seq, task_start in view.open_starts.items():
-        if task_start.job.answer is not None:
+    for seq in msg.known:
+        # Runs that this entry has given up have no open start.
+        task_start = view.open_starts.get(seq)
+        if task_start is None or task_start.job.answer is not None:
             view.pending_cancels.append(seq)
     view.ready = True
     node.timers.cancel(('endpoint_expired', view.incarnation))
@@ -141,7 +147,7 @@
 def _update_capacity(view, msg):
     view.granted = msg.granted
     # Starts that the endpoint had not received when it sent the message.
-    in_flight = view.next_seq - 1 - msg.seen
+    in_flight = view.next_seq - 1 - max(msg.seen, view.settled_seq)
     view.free = msg.free - in_flight
     view.long_free = msg.long_free
 
--- a/azurepier/entry/_peers.py
+++ b/azurepier/entry/_peers.py
@@ -1,5 +1,7 @@
 """Connections to other entries and forwarding of requests to them."""
 
+import attrs
+
 from azurepier.entry import _outcomes
 from azurepier.entry import _recovery
 from azurepier.entry import _state
@@ -51,7 +53,12 @@
     _update_limits(node, now)
     out = [effects.Record('entry_disconnected', detail=peer.name)]
     for forwarded in list(node.forwards.values()):
-        if forwarded.conn == peer.conn:
+        if forwarded.conn != peer.conn:
+            continue
+        if _starts_anew(forwarded.msg):
+            del node.forwards[forwarded.query]
+            out += _reply_leader_lost(node, forwarded, now)
+        else:
             forwarded.conn = None
             forwarded.give_up_at = now + OWNER_TIMEOUT_S
             _set_owner_timer(node, forwarded)
@@ -62,6 +69,11 @@
     return out
 
 
+def _starts_anew(msg):
+    """Tell whether a second copy of a request would start a second job."""
+    return msg.action == 'submit' and not msg.job_id
+
+
 def _drop_remote_waiters(node, conn):
     for job in node.table.jobs.values():
         if job.waiters:
@@ -170,9 +182,13 @@
     """Tell whether a newer incarnation has replaced the owner.
 
     An unknown incarnation doesn't count as replaced: it may belong to an
-    entry that has just started, so the request waits for it to connect.
+    entry that has just started, so the request waits for it to connect. Nor
+    does one that is connected, whatever lists of other processes say.
     """
-    return incarnation in node.former_incarnations
+    return (
+        incarnation in node.former_incarnations
+        and find_connection(node, incarnation) is None
+    )
 
 
 def _new_forward(node, waiter, msg, incarnation, now):
@@ -194,6 +210,7 @@
 
 def _send_forward(forwarded, conn):
     forwarded.conn = conn
+    forwarded.repeated = forwarded.sent
     forwarded.sent = True
     return [effects.Send(conn, forwarded.msg)]
 
@@ -255,7 +272,23 @@
         return []
     node.timers.cancel(('owner_timeout', msg.query))
     _outcomes.unregister_waiter(node, forwarded.waiter)
-    answer = jobs.answer_from_json(msg.body)
+    try:
+        answer = jobs.answer_from_json(msg.body)
+    except kernel.InvalidInputError as exc:
+        answer = kernel.Refused(
+            forwarded.msg.job_id,
+            'internal',
+            kernel.Verdict.MAY_HAVE_RUN,
+            str(exc),
+        )
+    if forwarded.repeated and getattr(answer, 'type', '') == 'expired':
+        # The first copy may have used the id. To a caller that submitted once
+        # `expired` says that nobody did.
+        answer = attrs.evolve(
+            answer,
+            type='owner-lost',
+            detail='the answer was lost and is no longer retained',
+        )
     return [_outcomes.reply(forwarded.waiter, answer)]
 
 
@@ -265,7 +298,22 @@
         return
     known = node.directory.known.get(info.name)
     if known is not None and known.info.incarnation != info.incarnation:
-        if info.incarnation in node.former_incarnations:
-            return  # stale list that names a former incarnation
+        if _is_outdated(node, known.info.incarnation, info.incarnation):
+            return
         node.former_incarnations[known.info.incarnation] = now
+        node.former_incarnations.pop(info.incarnation, None)
     membership.learn(node.directory, info, now)
+
+
+def _is_outdated(node, known, listed):
+    """Tell whether a list names an earlier incarnation than the known one.
+
+    Lists don't say which of two incarnations is the later one, but only a
+    running process has a connection.
+    """
+    if find_connection(node, listed) is not None:
+        return False
+    return (
+        listed in node.former_incarnations
+        or find_connection(node, known) is not None
+    )
