--- a/azurepier/daemon/tests/test_process.py
+++ b/azurepier/daemon/tests/test_process.py
@@ -237,9 +237,6 @@
 
 
 class TestClock:
-    @pytest.mark.skipif(
-        not hasattr(time, 'CLOCK_BOOTTIME'), reason='the clock of Linux'
-    )
     def test_counts_a_suspension(self, monkeypatch):
         """Guards against leases that are used after a suspension.
 
