Run two builds side by side in a test and a command

Cause: during an upgrade, processes of two builds exchange messages and read what the other ones have stored. No test runs two builds.

Change: tools/mixed_builds.py takes the old build from the history, starts three entries and three endpoint processes of it against fakes, and replaces them one by one by the working copy: entries and endpoint processes alternate, one of each is killed, one replacement is rolled back. In the middle the configuration changes and a failure domain is evacuated, each while one entry is cut off from the store, the only one of its build if there is one. Callers submit jobs all the time. The checks use what callers, workers and the store see, and the logs of all processes.

--- /dev/null
+++ b/tests/adapter/mixed_fleet/_callers.py
@@ -0,0 +1,115 @@
+"""Callers, who submit jobs all the time, and submit them again."""
+
+import asyncio
+import json
+import random
+import time
+
+import attrs
+
+from azurepier.daemon import _http
+from mixed_fleet import _fleet
+from mixed_fleet import _record
+
+CALLERS = 8
+# Time after which a job without an answer is submitted again (s).
+RESUBMIT_AFTER_S = 1.3
+# Time for which a caller waits for the answer to one attempt (s).
+ATTEMPT_LIMIT_S = 8.0
+# Time in which each job has to be answered (s).
+JOB_LIMIT_S = 20.0
+# Refusals after which a caller gives up, and the time between them (s).
+REFUSALS_MAX = 3
+REFUSED_PAUSE_S = 0.2
+MEAN_PAUSE_S = 0.05
+# Share of the jobs whose first task fails once.
+FAILING_SHARE = 0.05
+# Range of the run time (ms) and share of the jobs.
+_RUN_TIMES = (((10, 80), 0.55), ((100, 350), 0.35), ((800, 1500), 0.1))
+TRANSIENT = (TimeoutError, _http.NotSentError, _http.ResponseError)
+
+
+@attrs.define(eq=False)
+class Traffic:
+    """What the callers share.
+
+    Attributes
+    ----------
+    prefixes : list of str
+        Path prefixes of the queues that may be used.
+    ended : bool
+        Whether no new jobs are submitted.
+    """
+
+    fleet: _fleet.Fleet
+    seed: int
+    prefixes: list
+    ended: bool = False
+
+
+async def run_caller(traffic, number):
+    """Submit one job after the other until the traffic ends."""
+    rng = random.Random(f'{traffic.seed}/{number}')
+    record = traffic.fleet.record
+    while not traffic.ended:
+        await asyncio.sleep(rng.expovariate(1 / MEAN_PAUSE_S))
+        job_id = f'{rng.getrandbits(64):016x}'
+        (low, high), _ = rng.choices(
+            _RUN_TIMES, [share for _, share in _RUN_TIMES]
+        )[0]
+        count, run_ms = rng.randint(2, 6), rng.randint(low, high)
+        cpu = rng.choice((250, 500, 1000))
+        spec = {
+            'ms': run_ms,
+            'cpu': cpu,
+            'fails': rng.random() < FAILING_SHARE,
+        }
+        step = {
+            'count': count,
+            'cpu': cpu,
+            'mem_mb': 8,
+            'estimate_ms': run_ms,
+        }
+        body = json.dumps(
+            {'spec': json.dumps(spec), 'best_effort': True, 'steps': [step]}
+        ).encode()
+        job = _record.Job(job_id, count, record.phase, time.monotonic())
+        record.jobs[job_id] = job
+        path = rng.choice(traffic.prefixes) + job_id
+        outcome = await _submit(traffic, rng, job, path, body)
+        if outcome:
+            _record.on_answer(record, job, outcome)
+
+
+async def _submit(traffic, rng, job, path, body):
+    """Submit a job until it is answered; return the outcome."""
+    while time.monotonic() - job.sent_at < JOB_LIMIT_S:
+        entry = _pick_entry(traffic.fleet, rng)
+        try:
+            async with asyncio.timeout(ATTEMPT_LIMIT_S):
+                status, answer = await _fleet.call(
+                    traffic.fleet, entry, _fleet.FRONT_PORT, 'POST', path, body
+                )
+        except TRANSIENT:
+            job.attempts.append('broken')
+            await asyncio.sleep(RESUBMIT_AFTER_S)
+            continue
+        job.attempts.append(str(status))
+        if status in (502, 504):
+            await asyncio.sleep(RESUBMIT_AFTER_S)
+        elif status in (429, 503):
+            if len([a for a in job.attempts if a in ('429', '503')]) >= (
+                REFUSALS_MAX
+            ):
+                return 'refused'
+            await asyncio.sleep(REFUSED_PAUSE_S)
+        elif status == 200:
+            return json.loads(answer)['state']
+        else:
+            return f'status_{status}'
+    return ''
+
+
+def _pick_entry(fleet, rng):
+    ready = [m for m in fleet.entries if m.in_rotation]
+    return rng.choice(ready or fleet.entries)
--- /dev/null
+++ b/tests/adapter/mixed_fleet/_logs.py
@@ -0,0 +1,82 @@
+"""What the processes of both builds must not log."""
+
+import pathlib
+
+from mixed_fleet import _fleet
+from mixed_fleet import _record
+
+# Events that show that a process can't handle what another one has sent or
+# stored.
+_FORBIDDEN_EVENTS = frozenset(
+    {
+        'config_rejected',
+        'entries_malformed',
+        'handler_failed',
+        'operator_items_malformed',
+        'recovery_failed',
+        'settings_rejected',
+        'task_failed',
+    }
+)
+# Reasons of failed connections that follow from the end of the other process.
+_EXPECTED_REASONS = (
+    'the connection to',
+    'closed by the peer',
+    'Connect call failed',
+    'Connection refused',
+    'Connection reset',
+    'no connection',
+)
+_FORBIDDEN_LEVELS = frozenset({'error', 'critical'})
+
+
+def check(fleet):
+    """Check the logs of all processes of a fleet."""
+    for machine in fleet.machines:
+        for _, path in machine.lives:
+            lines = _fleet.read_log(path)
+            _check_imports(fleet, lines, path)
+            texts = [line['text'] for line in lines if 'text' in line]
+            if texts:
+                # Most likely a traceback, of which the last line says most.
+                _record.violate(
+                    fleet.record,
+                    'log',
+                    f'{path.name}: {len(texts)} lines of text: {texts[-1]}',
+                )
+            for line in lines:
+                problem = _problem(line)
+                if problem:
+                    _record.violate(
+                        fleet.record, 'log', f'{path.name}: {problem}'
+                    )
+
+
+def _check_imports(fleet, lines, path):
+    """Check that a process has imported the sources of its build."""
+    build_name = path.stem.rpartition('-')[2]
+    files = lines[0].get('files', ()) if lines else ()
+    root = fleet.builds[build_name].root
+    if not files or not all(
+        pathlib.Path(file).is_relative_to(root / part)
+        for file, part in zip(files, ('platform/adapter', 'azurepier'))
+    ):
+        _record.violate(
+            fleet.record, 'imports', f'{path.name}: {files} are not in {root}'
+        )
+
+
+def _problem(line):
+    """Return what is wrong with a line, '' if nothing is."""
+    event = line.get('event')
+    if event == 'connection_failed' and not any(
+        reason in line.get('reason', '') for reason in _EXPECTED_REASONS
+    ):
+        return f'connection_failed: {line.get("reason")}'
+    if (
+        event in _FORBIDDEN_EVENTS
+        or 'exc_info' in line
+        or line.get('level', '').lower() in _FORBIDDEN_LEVELS
+    ):
+        return str(line)[:300]
+    return ''
--- /dev/null
+++ b/tests/adapter/test_mixed_builds.py
@@ -0,0 +1,173 @@
+"""Tests of two builds that run side by side during an upgrade."""
+
+import json
+import random
+import signal
+import types
+
+import mixed_fleet
+from mixed_fleet import _builds
+from mixed_fleet import _fleet
+from mixed_fleet import _logs
+from mixed_fleet import _record
+from mixed_fleet import _run
+import pytest
+
+# The build in production, which an upgrade replaces.
+PRODUCTION_COMMIT = '29bbc6b'
+SEED = 1
+# Each replacement takes its own time, 2 s or more for an entry that drains.
+SECONDS = 20.0
+
+
+class TestUpgrade:
+    def test_production_build_to_the_working_copy(self, tmp_path):
+        """Guards against messages that only one of the builds can read."""
+        options = mixed_fleet.Options(
+            PRODUCTION_COMMIT, SEED, SECONDS, tmp_path
+        )
+        report = mixed_fleet.run(options)
+        assert report.violations == []
+        assert report.phases[0][1:] == (6, 0)
+        assert report.phases[-1][1:] == (0, 6)
+        for phase in ('old', 'mixed', 'new'):
+            assert report.outcomes[phase]['succeeded'] > 0
+
+    def test_commit_that_the_history_lacks(self):
+        """Guards against a run in a shallow clone that looks like a pass."""
+        with pytest.raises(mixed_fleet.MissingCommitError, match='unshallow'):
+            _builds.extract('0123456789abcdef')
+
+
+class TestPlan:
+    @pytest.mark.parametrize('seed', range(20))
+    def test_steps(self, seed):
+        """Guards against orders in which the builds hardly meet."""
+        machines = [
+            types.SimpleNamespace(role=role, name=f'{role}-{domain}')
+            for role in ('entry', 'endpoint')
+            for domain in 'abc'
+        ]
+        plan = _run.make_plan(machines, random.Random(seed))
+        builds = dict.fromkeys((m.name for m in machines), 'old')
+        roles, killed = [], []
+        for name, *arguments in plan:
+            if name == 'replace':
+                machine, build, signal_number = arguments
+                assert builds[machine.name] != build
+                builds[machine.name] = build
+                roles.append(machine.role)
+                if signal_number == signal.SIGKILL:
+                    killed.append(machine.role)
+            else:
+                assert set(builds.values()) == {'old', 'new'}
+        assert set(builds.values()) == {'new'}
+        assert sorted(killed) == ['endpoint', 'entry']
+        assert roles.count('entry') >= 3
+        assert roles.count('endpoint') >= 3
+
+
+def make_record():
+    """Return a record with one job of two tasks."""
+    record = _record.Record()
+    record.jobs['j'] = _record.Job('j', 2, 'old', 0.0)
+    return record
+
+
+class TestRecord:
+    """Guards against a run that passes because its checks see nothing."""
+
+    def rules(self, record):
+        return [text.split()[3].rstrip(':') for text in record.violations]
+
+    def test_two_runs_at_the_same_time(self):
+        """The second run may be on another worker."""
+        record = make_record()
+        _record.on_start(record, 'w1', 'j.0.0.0', 1)
+        _record.on_start(record, 'w2', 'j.0.0.0', 2)
+        assert self.rules(record) == ['twice']
+
+    def test_one_run_after_the_other(self):
+        """A task may run again when its run has ended."""
+        record = make_record()
+        _record.on_start(record, 'w1', 'j.0.0.0', 1)
+        _record.on_end(record, 'w1', 'j.0.0.0', 1, 'lapsed')
+        _record.on_start(record, 'w2', 'j.0.0.0', 2)
+        assert record.violations == []
+
+    def test_success_without_all_ends(self):
+        """Each task needs a run that has ended done."""
+        record = make_record()
+        _record.on_start(record, 'w1', 'j.0.0.0', 1)
+        _record.on_end(record, 'w1', 'j.0.0.0', 1, 'done')
+        _record.on_answer(record, record.jobs['j'], 'succeeded')
+        assert self.rules(record) == ['not_done']
+
+    def test_refused_job_that_ran(self):
+        """A job of which every attempt was refused has no start."""
+        record = make_record()
+        job = record.jobs['j']
+        job.attempts[:] = ['503', '503']
+        _record.on_start(record, 'w1', 'j.0.0.1', 1)
+        _record.on_end(record, 'w1', 'j.0.0.1', 1, 'stopped')
+        _record.on_answer(record, job, 'refused')
+        _record.check_end(record)
+        assert self.rules(record) == ['refused']
+
+    def test_job_without_an_answer(self):
+        """Each job is answered."""
+        record = make_record()
+        record.jobs['j'].attempts.append('broken')
+        _record.check_end(record)
+        assert self.rules(record) == ['unanswered']
+
+    def test_task_that_nobody_submitted(self):
+        """Its job is not known, so it is a violation of its own."""
+        record = make_record()
+        _record.on_start(record, 'w1', 'k.0.0.0', 1)
+        assert self.rules(record) == ['unasked']
+
+
+class TestLogs:
+    @pytest.mark.parametrize(
+        'line',
+        [
+            '{"event": "handler_failed", "level": "ERROR"}',
+            '{"event": "recovery_failed", "level": "ERROR"}',
+            '{"event": "connection_failed", "reason": "malformed Beat"}',
+            'Traceback (most recent call last):',
+        ],
+    )
+    def test_forbidden_line(self, line, tmp_path):
+        """Guards against a log of which only known events are checked."""
+        build = _builds.Build('old', 'c', tmp_path)
+        record = _record.Record()
+        fleet = _fleet.Fleet(tmp_path, record, {'old': build})
+        log = tmp_path / 'entry-a-1-old.log'
+        files = [
+            str(tmp_path / part)
+            for part in ('platform/adapter/x.py', 'azurepier/x.py')
+        ]
+        imported = json.dumps({'event': 'build_imported', 'files': files})
+        log.write_text(f'{imported}\n{line}\n')
+        machine = _fleet.Machine('entry', 'entry-a', '127.0.0.1', 'a')
+        machine.lives.append(('old', log))
+        fleet.machines.append(machine)
+        _logs.check(fleet)
+        assert len(record.violations) == 1
+
+    def test_other_sources(self, tmp_path):
+        """Guards against an old process that runs the new code."""
+        build = _builds.Build('old', 'c', tmp_path / 'old')
+        record = _record.Record()
+        fleet = _fleet.Fleet(tmp_path, record, {'old': build})
+        log = tmp_path / 'entry-a-1-old.log'
+        log.write_text(
+            '{"event": "build_imported", "files": ["/new/platform/adapter/'
+            '__init__.py", "/new/azurepier/__init__.py"]}\n'
+        )
+        machine = _fleet.Machine('entry', 'entry-a', '127.0.0.1', 'a')
+        machine.lives.append(('old', log))
+        fleet.machines.append(machine)
+        _logs.check(fleet)
+        assert 'imports' in record.violations[0]
