Read evacuations beside entries of builds without them

Cause: an endpoint process reads the evacuated failure domains itself only while all its entries report that the store is silent. Entries of a build from before evacuations never report that and send no updates, so that a process of the present build beside them, or beside them and one entry that has lost the store, missed an evacuation and started runs in the domain.

Change: an entry counts as a source of updates once it has sent one. While there is none with contact to the store, the process reads the store once a second, as it does while all have lost it.

Measured: the new test fails with the former condition in both cases and passes with this one; test_evacuation.py and test_mechanisms.py pass. The build in production sends updates, so that its upgrade is not concerned.

--- a/azurepier/dispatch/tests/test_evacuation.py
+++ b/azurepier/dispatch/tests/test_evacuation.py
@@ -6,6 +6,7 @@
 import pytest
 
 from azurepier import dispatch
+from azurepier.dispatch import _evacuation
 from azurepier.kernel import events
 from azurepier.kernel import messages
 from azurepier import runner
@@ -241,6 +242,44 @@
         assert starts_since(fleet, 'd0', at) == []
         assert starts_since(fleet, 'd1', at)
 
+    @pytest.mark.parametrize('cut', [(), ('e0',)])
+    def test_entries_of_an_older_build(self, monkeypatch, cut):
+        """Guards against starts while no entry sends evacuations.
+
+        Entries of a build from before evacuations neither send them nor
+        report a silent store. `cut` entries are of this build, but have lost
+        the store.
+        """
+        fleet = make_pool()
+        fleet.run_for(3.0)
+        fleet.store_cut.update(fleet.entries)
+        silent_ms = _evacuation.store_silent_ms
+        for name, process in fleet.entries.items():
+            if name not in cut:
+                process.node.evacuations = None
+        for process in fleet.endpoints.values():
+            for link in process.node.links.values():
+                link.sends_evacuations = link.name in cut
+        monkeypatch.setattr(
+            _evacuation,
+            'store_silent_ms',
+            lambda node, now: (
+                silent_ms(node, now) if node.options.name in cut else None
+            ),
+        )
+        monkeypatch.setattr(
+            _evacuation, 'on_peer_update', lambda node, peer, msg: []
+        )
+        at = fleet.driver.now
+        fleet.evacuate('d0')
+        load(fleet, 9.0)
+        assert late_starts(fleet, 'd0', at) == []
+        assert starts_since(fleet, 'd1', at)
+        fleet.evacuate()
+        at = fleet.driver.now
+        load(fleet, 4.0)
+        assert starts_since(fleet, 'd0', at)
+
     def test_restarted_entry_without_store(self):
         """Guards against an entry that starts from nothing while it is cut."""
         fleet = make_pool()
--- a/azurepier/runner/_evacuation.py
+++ b/azurepier/runner/_evacuation.py
@@ -5,7 +5,8 @@
 pass on what they know; the newest revision counts. The endpoint process is the
 last one to check an order, so it starts nothing before it knows which failure
 domains are evacuated, and it reads the store itself if none of its entries has
-contact to it. Runs that are at work go on.
+contact to it and sends updates, which builds from before evacuations don't.
+Runs that are at work go on.
 """
 
 import attrs
@@ -52,6 +53,7 @@
     link.store_silent = msg.store_silent_ms is not None
     if msg.evacuations_revision is None or msg.evacuated is None:
         return []
+    link.sends_evacuations = True
     evacuations = membership.Evacuations(
         msg.evacuations_revision, frozenset(msg.evacuated)
     )
@@ -92,8 +94,8 @@
     if not links:
         # There are no orders without an entry.
         return []
-    if node.evacuations is not None and not all(
-        link.store_silent for link in links
+    if node.evacuations is not None and any(
+        link.sends_evacuations and not link.store_silent for link in links
     ):
         return []
     node.count('evacuation_reads')
--- a/azurepier/runner/_state.py
+++ b/azurepier/runner/_state.py
@@ -112,6 +112,9 @@
         Demand of the entry for this endpoint (cores).
     store_silent : bool
         Whether the entry has lost contact to the store.
+    sends_evacuations : bool
+        Whether the entry has sent an update of the evacuations. Builds from
+        before these send none, and don't report a silent store either.
     close_at : float or None
         Earliest time at which a surplus connection is closed (s).
     runs : dict of int to Run
@@ -131,6 +134,7 @@
     last_sent_at: float = 0.0
     demand: float = 0.0
     store_silent: bool = False
+    sends_evacuations: bool = False
     close_at: float | None = None
     runs: dict = attrs.field(factory=dict)
     reported_ends: collections.deque = attrs.field(factory=collections.deque)
