Read an unknown status of a run's end as lost

Cause: Status(number) raises ValueError for a number that the build doesn't know. In an entry that ends all its connections, and again after each reconnection, since the endpoint process repeats the end: one new status would stop an old entry during an upgrade.

Change: an unknown number is LOST: the run has ended, and it may have run. The task is started again; a job that is given up gets the verdict may_have_run. Other values than numbers still raise.

Measured: the new tests of kernel and dispatch fail without the change (the handler raises ValueError) and pass with it. Ruled out: handling it where the message is read; all readers of a status need it.

--- a/azurepier/dispatch/tests/test_errors.py
+++ b/azurepier/dispatch/tests/test_errors.py
@@ -162,3 +162,49 @@
         fleet.run_for(1.0)
         assert fleet.workers['w0'].highest_numbers == {}
         assert len(process.node.by_conn) == 3
+
+
+class TestUnknownStatus:
+    """Guards against an upgrade that breaks what the old build still serves.
+
+    A later build may end runs with a status that this one doesn't know.
+    """
+
+    def end_run(self, fleet, call, on_new_connection):
+        """End the run of a job with an unknown status; return the entry."""
+        process = fleet.entries[call.entry]
+        endpoint, run = next(
+            (endpoint, run)
+            for endpoint in process.node.by_conn.values()
+            for run in endpoint.runs.values()
+        )
+        sender = fleet.endpoints[endpoint.name]
+        link = next(
+            link
+            for link in sender.node.links.values()
+            if link.name == process.node.options.name
+        )
+        state = runner_node._capacity.pool_state(
+            sender.node, link, fleet.driver.now
+        )
+        end = messages.RunEnd(seq=run.seq, status=99, run_ms=1, reason='new')
+        msg = messages.RunEnds(ends=[end], state=state)
+        if on_new_connection:
+            msg = messages.RunsKnown(running=[], ends=[end], state=state)
+        fleet.driver.feed(process, events.Received(endpoint.conn, msg))
+        return process
+
+    @pytest.mark.parametrize('on_new_connection', [False, True])
+    def test_end_of_a_run(self, on_new_connection):
+        """The task may have run, so it is started again, on one connection."""
+        fleet = testing.make_pool(entries=1, speeds=(1.0,) * 3)
+        fleet.run_for(1.0)
+        call = fleet.submit(0.5, count=1, entry='e0')
+        fleet.run_for(0.1)
+        process = self.end_run(fleet, call, on_new_connection)
+        job = process.node.jobs[call.job.id]
+        assert job.may_have_run
+        fleet.run_for(5.0)
+        assert call.body == dispatch.Finished(True)
+        assert len(process.node.by_conn) == 3
+        assert process.handler_failures == 0
--- a/azurepier/kernel/_verdict.py
+++ b/azurepier/kernel/_verdict.py
@@ -16,7 +16,9 @@
 
     Notes
     -----
-    The values are sent in ``Outcome.status`` and must not change.
+    The values are sent in ``Outcome.status`` and ``RunEnd.status`` and must
+    not change. A number that this build doesn't know, which a later build may
+    send during an upgrade, is `LOST`: the task has ended, and may have run.
     """
 
     DONE = 0
@@ -28,6 +30,10 @@
     STOPPED = 6  # started, then stopped on request
     CANCELLED = 7  # cancelled before it started
 
+    @classmethod
+    def _missing_(cls, value):
+        return cls.LOST if isinstance(value, int) else None
+
 
 VERDICT_OF_STATUS = {
     Status.DONE: Verdict.RAN,
--- a/azurepier/kernel/tests/test_kernel.py
+++ b/azurepier/kernel/tests/test_kernel.py
@@ -3,6 +3,8 @@
 import pickle
 import random
 
+import pytest
+
 from azurepier import kernel
 from azurepier.kernel import InvalidInputError
 
@@ -46,3 +48,18 @@
         exc = pickle.loads(pickle.dumps(InvalidInputError('seeds', 'none')))
         assert (exc.field, exc.reason) == ('seeds', 'none')
         assert str(exc) == 'seeds: none'
+
+
+class TestStatus:
+    @pytest.mark.parametrize('number', [8, 99, -1, 2**31 - 1])
+    def test_number_of_a_later_build(self, number):
+        """Guards against an exception, and against a wrong "not run"."""
+        status = kernel.Status(number)
+        assert status is kernel.Status.LOST
+        assert kernel.VERDICT_OF_STATUS[status] is kernel.Verdict.MAY_HAVE_RUN
+
+    @pytest.mark.parametrize('value', [None, 'done', b'0'])
+    def test_no_number(self, value):
+        """Guards against an error in the code that is taken for a status."""
+        with pytest.raises(ValueError, match='Status'):
+            kernel.Status(value)
