Ignore messages of unknown types after the handshake

Cause: a message of an unknown type closed its connection, so that a later build that sends a new one would lose each connection to this build as soon as it opened.

Change: after the handshake, such messages are counted (azurepier_messages_ignored_total) and dropped. Before it they still end the connection. New tests of the codec: an unknown field of each Thrift type, in each message and in the items of a list, is ignored, and messages without their optional fields are complete; both held already.

--- a/azurepier/daemon/_metrics.py
+++ b/azurepier/daemon/_metrics.py
@@ -56,6 +56,11 @@
             'Connections that ended before their handshake.',
             traffic.failed_handshakes,
         )
+        yield counter(
+            'azurepier_messages_ignored',
+            'Messages of types that this build does not know.',
+            traffic.ignored,
+        )
         yield counter(
             'azurepier_handler_errors',
             'Events that the node failed to handle.',
--- a/azurepier/daemon/_pool_metrics.py
+++ b/azurepier/daemon/_pool_metrics.py
@@ -57,6 +57,11 @@
             'Tasks that wait to be started again.',
             len(self.supervisor.awaiting_restart),
         )
+        yield core.CounterMetricFamily(
+            'azurepier_messages_ignored',
+            'Messages of types that this build does not know.',
+            self.shell.hooks.traffic.ignored,
+        )
         yield core.CounterMetricFamily(
             'azurepier_handler_errors',
             'Events that the node failed to handle.',
--- a/azurepier/wire/_codec.py
+++ b/azurepier/wire/_codec.py
@@ -207,6 +207,11 @@
     return length
 
 
+def is_known(payload):
+    """Tell whether the payload of a frame has a known message type."""
+    return payload[0] in _DECODER_BY_TYPE
+
+
 def decode_payload(payload):
     """Decode the payload of a frame.
 
--- a/azurepier/wire/_connection.py
+++ b/azurepier/wire/_connection.py
@@ -32,11 +32,13 @@
 class Traffic:
     """Counters over all connections of a process.
 
-    `sent` and `received` count messages by class.
+    `sent` and `received` count messages by class, `ignored` those of unknown
+    types.
     """
 
     sent: dict = attrs.field(factory=dict)
     received: dict = attrs.field(factory=dict)
+    ignored: int = 0
     sent_bytes: int = 0
     received_bytes: int = 0
     writes: int = 0
@@ -198,6 +200,11 @@
             self._fail(str(exc))
 
     def _on_payload(self, payload):
+        if not _codec.is_known(payload):
+            # A later build may send it. Closing the connection would stop the
+            # exchange with that build during an upgrade.
+            self._hooks.traffic.ignored += 1
+            return
         msg = _codec.decode_payload(payload)
         received = self._hooks.traffic.received
         received[type(msg)] = received.get(type(msg), 0) + 1
--- a/azurepier/wire/tests/test_codec.py
+++ b/azurepier/wire/tests/test_codec.py
@@ -85,6 +85,56 @@
         assert {cls.__name__ for cls in STRUCTS} - NESTED == known
 
 
+# Fields of a later build: identifier 99, with a value of each type.
+LATER_FIELDS = [
+    bytes.fromhex(text)
+    for text in (
+        '02006301',
+        '0400633ff8000000000000',
+        '08006300000007',
+        '0a00630000000000000007',
+        '0b00630000000161',
+        '0c006308000100000007' + '00',
+        '0f00630b0000000100000001' + '61',
+        '0d00630b080000000100000001' + '6100000007',
+    )
+]
+
+
+class TestLaterBuild:
+    """Guards against an old build that can't read a new one's messages."""
+
+    @pytest.mark.parametrize('field', LATER_FIELDS, ids=lambda f: f[:1].hex())
+    @pytest.mark.parametrize('msg', EXAMPLES, ids=lambda m: type(m).__name__)
+    def test_unknown_field(self, msg, field):
+        """An unknown field is ignored, whatever its type."""
+        payload = _codec.encode(msg)[_codec.HEADER_BYTES :]
+        # The last byte ends the struct.
+        later = payload[:-1] + field + payload[-1:]
+        assert _codec.decode_payload(later) == msg
+
+    @pytest.mark.parametrize('field', LATER_FIELDS, ids=lambda f: f[:1].hex())
+    def test_unknown_field_of_an_item(self, field):
+        """An unknown field of an item in a list is ignored, too."""
+        end = example(ttypes.RunEnd)
+        msg = example(ttypes.RunsKnown)
+        payload = _codec.encode(msg)[_codec.HEADER_BYTES :]
+        item = _codec.fastbinary.encode_binary(
+            end, [ttypes.RunEnd, ttypes.RunEnd.thrift_spec]
+        )
+        assert payload.count(item) == 3
+        later = payload.replace(item, item[:-1] + field + item[-1:])
+        assert _codec.decode_payload(later) == msg
+
+    @pytest.mark.parametrize('cls', list(_codec._OPTIONAL_FIELDS))
+    def test_optional_fields_of_an_earlier_build(self, cls):
+        """A message without a field that was added later is complete."""
+        msg = example(cls)
+        for name in _codec._OPTIONAL_FIELDS[cls]:
+            setattr(msg, name, None)
+        assert _codec.decode(_codec.encode(msg)) == msg
+
+
 class TestInvalidInput:
     @pytest.mark.parametrize(
         'msg',
--- a/azurepier/wire/tests/test_connection.py
+++ b/azurepier/wire/tests/test_connection.py
@@ -233,6 +233,31 @@
             assert b.connected[0][0].failed and not conn.failed
         assert 'frame of' in b.disconnected[0]
 
+    @in_loop
+    async def test_message_of_a_later_build(self):
+        """Guards against an upgrade in which no connection stays open."""
+        a, b = RecordingProcess('a'), RecordingProcess('b')
+        async with connected(a, b) as (conn, _):
+            conn.send(messages.Want(count=1))
+            conn._flush()
+            conn._transport.write(b'\0\0\0\4\xfe\x08\0\1' + b'\0\0\0\1\xfe')
+            conn.send(messages.Want(count=2))
+            await until(lambda: len(b.messages) == 2 or b.disconnected)
+            assert not a.disconnected and not b.disconnected
+        assert [msg.count for msg in b.messages] == [1, 2]
+        assert b.hooks.traffic.ignored == 2
+
+    @in_loop
+    async def test_unknown_message_before_the_handshake(self):
+        """Guards against a peer that is kept without a `Hello`."""
+        process = RecordingProcess('a')
+        async with listening(process) as (_, *address):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(b'\0\0\0\2\xfe\0')
+            await until(lambda: process.failed)
+            writer.close()
+        assert 'unknown message type' in process.failed[0]
+
     @in_loop
     async def test_failed_dial_is_reported(self):
         """Guards against exceptions for invalid or unused addresses."""
