Give each run of the programs' tests addresses of its own

Cause: tests/adapter/test_programs.py used 127.77.0.2 to 4 with the programs' fixed ports, so that two runs on one machine shared addresses: jobs were answered by the other run's entries. test_rejected_requests and test_killed_entry failed in one run and test_request_before_the_first_configuration in the next, each beside a run of another working copy.

Change: the network depends on the process id, as in mixed_fleet.

--- a/tests/adapter/fakes.py
+++ b/tests/adapter/fakes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import os
 import time
 import urllib.parse
 
@@ -12,6 +13,16 @@
 Reply = _server.Reply
 
 
+def loopback_network():
+    """Return the first three numbers of loopback addresses.
+
+    They depend on the process id, so that the fleets of two test runs on one
+    machine don't meet: the ports of the programs are fixed.
+    """
+    pid = os.getpid()
+    return f'127.{80 + pid % 120}.{pid // 120 % 250}'
+
+
 @attrs.define(eq=False)
 class FakeStore:
     """Fake of the platform's metadata store.
--- a/tests/adapter/mixed_fleet/_fleet.py
+++ b/tests/adapter/mixed_fleet/_fleet.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import json
-import os
 import pathlib
 import signal
 import time
@@ -110,8 +109,7 @@
 def make_fleet(folder, record, builds):
     """Return a fleet whose addresses belong to this process alone."""
     fleet = Fleet(folder, record, builds)
-    # Other runs on the same machine have other process ids.
-    prefix = f'127.{80 + os.getpid() % 120}.{os.getpid() // 120 % 250}'
+    prefix = fakes.loopback_network()
     for number, domain in enumerate(DOMAINS):
         for role, offset in (('entry', 10), ('endpoint', 20)):
             machine = Machine(
--- a/tests/adapter/test_programs.py
+++ b/tests/adapter/test_programs.py
@@ -20,6 +20,7 @@
 
 ROOT = pathlib.Path(__file__).parents[2]
 TIMEOUT_S = 20.0
+NETWORK = fakes.loopback_network()
 CONFIG = {
     'version': 7,
     'routes': [
@@ -39,7 +40,7 @@
 ip = "{ip}"
 zone = "a"
 port_range = [17320, 17330]
-seeds = ["127.77.0.2:1", "127.77.0.3:1"]
+seeds = ["{network}.2:1", "{network}.3:1"]
 service = "pool"
 {worker}
 [listen]
@@ -87,13 +88,14 @@
             await self.until_ready(number)
 
     def start_process(self, role, number):
-        """Start the process of a role on the address 127.77.0.`number`."""
+        """Start the process of a role on the address `NETWORK`.`number`."""
         worker = ''
         if role == 'endpoint':
             worker = f'app = "127.0.0.1:{self.worker_server.port}"'
         text = _SETTINGS_TEMPLATE.format(
             name=f'{role}-{number}',
-            ip=f'127.77.0.{number}',
+            ip=f'{NETWORK}.{number}',
+            network=NETWORK,
             worker=worker,
             store=self.store_server.port,
         )
@@ -116,7 +118,7 @@
 
     def http_pool(self, number, port):
         """Return a pool of HTTP connections to a process."""
-        pool = _process.make_http_pool(f'127.77.0.{number}:{port}', 1_000_000)
+        pool = _process.make_http_pool(f'{NETWORK}.{number}:{port}', 1_000_000)
         self.pools.append(pool)
         return pool
 
@@ -335,7 +337,7 @@
                 while True:
                     with contextlib.suppress(OSError):
                         _, writer = await asyncio.open_connection(
-                            '127.77.0.2', 17301
+                            f'{NETWORK}.2', 17301
                         )
                         break
                     await asyncio.sleep(0.002)
@@ -367,7 +369,9 @@
     async def test_stopped_entry_closes_idle_connections(self, tmp_path):
         """Guards against callers that stay on an entry until it ends."""
         async with running_fleet(tmp_path) as fleet:
-            reader, writer = await asyncio.open_connection('127.77.0.2', 17301)
+            reader, writer = await asyncio.open_connection(
+                f'{NETWORK}.2', 17301
+            )
             writer.write(b'GET /q/ HTTP/1.1\r\nHost: h\r\n\r\n')
             assert (await reader.readline()).startswith(b'HTTP/1.1 200')
             while await reader.readline() != b'\r\n':
@@ -398,7 +402,7 @@
                 while True:
                     with contextlib.suppress(OSError):
                         _, writer = await asyncio.open_connection(
-                            '127.77.0.2', 17301
+                            f'{NETWORK}.2', 17301
                         )
                         writer.close()
                         break
