Test that unknown fields from the platform are ignored

Guards the decoders of the configuration, of jobs and of the worker's reports and lists against fields and outcomes that a later platform may send.

--- a/tests/adapter/test_decode.py
+++ b/tests/adapter/test_decode.py
@@ -307,6 +307,48 @@
         assert 'malformed' in failed.reason
 
 
+class TestLaterPlatform:
+    """Guards against a process that stops when others say more than before.
+
+    The operator, workers and callers may send fields and names that this
+    build doesn't know.
+    """
+
+    def test_configuration(self):
+        """Unknown fields don't change what is read from the others."""
+        body = config_body(new='x', also=[1])
+        later = json.loads(body) | {'services': {'s': 1}, 'limits': None}
+        expected = _jobs.decode_routing(config_body())
+        decoded = _jobs.decode_routing(json.dumps(later).encode())
+        assert decoded.queues == expected.queues
+
+    def test_job(self):
+        """A field of a job that is not known is ignored."""
+        expected = _jobs.decode_job('id', job_body())
+        body = job_body(new=1, step={'also': 'x'})
+        assert _jobs.decode_job('id', body) == expected
+
+    def test_report(self):
+        """A field of a worker's report that is not known is ignored."""
+        body = json.dumps({**REPORT, 'new': {'x': 1}}).encode()
+        expected = _workers.decode_report('i', json.dumps(REPORT).encode())
+        assert _workers.decode_report('i', body) == expected
+
+    def test_list(self):
+        """A run that ended in an unknown way has ended, but is not done."""
+        body = {
+            **TestLists.LIST,
+            'running': [['t', 1, '', 50, 0, 'new']],
+            'ended': [[1, 't', 1, 'new', '', 'more']],
+            'new': [],
+        }
+        decoded = _workers._decode_list(200, json.dumps(body), 1.0, 7)
+        assert decoded.running == (runner.RunningRow('t', 1, 50),)
+        assert decoded.ended == (
+            runner.EndedRow(1, 't', 1, runner.RunOutcome.OTHER),
+        )
+
+
 class TestStartAnswers:
     @pytest.mark.parametrize(
         ('status', 'body', 'result'),
