--- a/tests/adapter/mixed_fleet/_callers.py
+++ b/tests/adapter/mixed_fleet/_callers.py
@@ -21,6 +21,9 @@
 # Refusals after which a caller gives up, and the time between them (s).
 REFUSALS_MAX = 3
 REFUSED_PAUSE_S = 0.2
+# Time after a signal in which broken attempts count as its effect (s): the
+# process drains, ends, and the next one starts.
+SIGNAL_EFFECT_S = _fleet.GRACE_S + 2.0
 MEAN_PAUSE_S = 0.05
 # Share of the jobs whose first task fails once.
 FAILING_SHARE = 0.05
@@ -83,15 +86,17 @@
 
 async def _submit(traffic, rng, job, path, body):
     """Submit a job until it is answered; return the outcome."""
+    fleet = traffic.fleet
     while time.monotonic() - job.sent_at < JOB_LIMIT_S:
-        entry = _pick_entry(traffic.fleet, rng)
+        entry = _pick_entry(fleet, rng)
         try:
             async with asyncio.timeout(ATTEMPT_LIMIT_S):
                 status, answer = await _fleet.call(
-                    traffic.fleet, entry, _fleet.FRONT_PORT, 'POST', path, body
+                    fleet, entry, _fleet.FRONT_PORT, 'POST', path, body
                 )
         except TRANSIENT:
             job.attempts.append('broken')
+            fleet.record.broken[_cause(entry)] += 1
             await asyncio.sleep(RESUBMIT_AFTER_S)
             continue
         job.attempts.append(str(status))
@@ -110,6 +115,13 @@
     return ''
 
 
+def _cause(entry):
+    """Return the signal that an attempt at an entry has met, or 'none'."""
+    if time.monotonic() - entry.stopped_at < SIGNAL_EFFECT_S:
+        return entry.stopped_by
+    return 'none'
+
+
 def _pick_entry(fleet, rng):
     ready = [m for m in fleet.entries if m.in_rotation]
     return rng.choice(ready or fleet.entries)
--- a/tests/adapter/mixed_fleet/_fleet.py
+++ b/tests/adapter/mixed_fleet/_fleet.py
@@ -59,8 +59,8 @@
         Name of the build and log of each of its processes.
     in_rotation : bool
         Whether callers are sent to it (entries).
-    changing : bool
-        Whether its process is being replaced.
+    stopped_by, stopped_at : str, float
+        Last signal that ended its process, and when it was sent (s).
     """
 
     role: str
@@ -75,7 +75,8 @@
     store_cut: bool = False
     lives: list = attrs.field(factory=list)
     in_rotation: bool = False
-    changing: bool = False
+    stopped_by: str = ''
+    stopped_at: float = float('-inf')
 
 
 @attrs.define(eq=False)
@@ -243,6 +244,8 @@
 async def stop_process(fleet, machine, signal_number):
     """End the process of a machine by a signal."""
     process = machine.process
+    machine.stopped_by = signal.Signals(signal_number).name
+    machine.stopped_at = time.monotonic()
     process.send_signal(signal_number)
     limit = time.monotonic() + GRACE_S
     while process.poll() is None and time.monotonic() < limit:
@@ -262,11 +265,9 @@
 
 async def replace(fleet, machine, build, signal_number):
     """Replace the process of a machine by one of a build."""
-    machine.changing = True
     await stop_process(fleet, machine, signal_number)
     start_process(fleet, machine, build)
     await until_connected(fleet, machine)
-    machine.changing = False
 
 
 async def until_connected(fleet, machine):
--- a/tests/adapter/mixed_fleet/_record.py
+++ b/tests/adapter/mixed_fleet/_record.py
@@ -47,6 +47,8 @@
         By task, and by (task, how it ended).
     ended : collections.Counter
         Ended runs by how they ended.
+    broken : collections.Counter
+        Attempts without an answer, by the signal that had ended the entry.
     violations : list of str
     """
 
@@ -59,6 +61,7 @@
     )
     end_counts: collections.Counter = attrs.field(factory=collections.Counter)
     ended: collections.Counter = attrs.field(factory=collections.Counter)
+    broken: collections.Counter = attrs.field(factory=collections.Counter)
     violations: list = attrs.field(factory=list)
 
 
--- a/tests/adapter/mixed_fleet/_run.py
+++ b/tests/adapter/mixed_fleet/_run.py
@@ -57,7 +57,7 @@
     outcomes : dict
         `collections.Counter` of the jobs' outcomes by phase.
     broken : collections.Counter
-        Attempts without an answer by phase.
+        Attempts without an answer, by the signal that had ended the entry.
     runs : collections.Counter
         Ended runs by how they ended.
     violations : list of str
@@ -205,16 +205,14 @@
     _record.check_end(record)
     _logs.check(fleet)
     outcomes = collections.defaultdict(collections.Counter)
-    broken = collections.Counter()
     for job in record.jobs.values():
         outcomes[job.phase][job.outcome or 'unanswered'] += 1
-        broken[job.phase] += job.attempts.count('broken')
     return Report(
         builds[_builds.OLD].commit,
         builds[_builds.NEW].commit,
         state.phases,
         outcomes,
-        broken,
+        record.broken,
         record.ended,
         record.violations,
     )
--- a/tools/mixed_builds.py
+++ b/tools/mixed_builds.py
@@ -25,22 +25,26 @@
 OUTCOMES = ('succeeded', 'refused')
 
 
+def _list(counts):
+    return ', '.join(f'{count} {key}' for key, count in sorted(counts.items()))
+
+
 def print_report(report, options):
     """Print the tables and the violations of a run."""
     print(f'old {report.old}, new {report.new}, seed {options.seed}')
     print('\n| step | old | new |\n|---|---|---|')
     for step, old, new in report.phases:
         print(f'| {step} | {old} | {new} |')
-    print('\n| jobs | succeeded | refused | other | broken attempts |')
-    print('|---|---|---|---|---|')
+    print('\n| jobs | succeeded | refused | other |\n|---|---|---|---|')
     for phase in PHASES:
         outcomes = report.outcomes[phase]
         counts = [outcomes[name] for name in OUTCOMES]
         other = outcomes.total() - sum(counts)
-        cells = [phase, *counts, other, report.broken[phase]]
+        cells = [phase, *counts, other]
         print('| ' + ' | '.join(map(str, cells)) + ' |')
-    ends = ', '.join(f'{n} {how}' for how, n in sorted(report.runs.items()))
-    print(f'\nruns: {ends}\nviolations: {len(report.violations)}')
+    print(f'\nruns: {_list(report.runs)}')
+    print(f'broken attempts: {_list(report.broken)}')
+    print(f'violations: {len(report.violations)}')
     for violation in report.violations:
         print(f'  {violation}')
 
