Don't conclude from reports of replaced connections

Callers could get "not run" for a job that a worker had started, and a task could run on two workers at the same time, when connections of an entry and an endpoint process replace each other within milliseconds, as they do when a frozen entry wakes.

Cause: both sides keep the latest connection, each in its own order. If the entry takes up the one that the endpoint process has kept, orders a run on it, and then takes up the other one, the report on that one is older than the order. The order was called lost with its connection though it still arrives, since it is only closed once its data is sent.

The first report on a connection now has the number of the session, counted by the endpoint process. An entry that has taken up a later session drops a connection with an earlier one; its runs wait for the next report, as after any disconnection. The field is optional: earlier versions don't send it and skip it, so that the fault remains towards endpoint processes of earlier builds.

--- a/azurepier/dispatch/_links.py
+++ b/azurepier/dispatch/_links.py
@@ -87,7 +87,18 @@
 
 
 def on_runs_known(node, endpoint, msg, now):
-    """Reconcile the runs that an endpoint reports with those ordered."""
+    """Reconcile the runs that an endpoint reports with those ordered.
+
+    If connections replace each other quickly, the two sides may take them up
+    in a different order. A report of an earlier session is older than orders
+    that were sent on a later one, and proves nothing about them.
+    """
+    if msg.session is not None:
+        if msg.session < endpoint.latest_session:
+            conn = endpoint.conn
+            out = mark_disconnected(node, endpoint, 'outdated', now)
+            return [*out, effects.Abort(conn)]
+        endpoint.latest_session = msg.session
     update_state(endpoint, msg.state)
     endpoint.runs_expire_at = None
     node.timers.cancel(('runs_expired', endpoint.incarnation))
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -163,6 +163,8 @@
     failures : int
         Number of jobs whose tasks have failed or stalled since the last
         success.
+    latest_session : int
+        Highest session number reported; 0 from earlier versions.
     reports_received : int
         Number of reports with ends received on the connection.
     runs : dict of int to Run
@@ -200,6 +202,7 @@
     sent_roster_version: int = -1
     roster_sent_at: float = 0.0
     runs_expire_at: float | None = None
+    latest_session: int = 0
     reports_received: int = 0
     runs: dict = attrs.field(factory=dict)
     runs_per_job: collections.Counter = attrs.field(
--- a/azurepier/runner/_links.py
+++ b/azurepier/runner/_links.py
@@ -48,10 +48,12 @@
     node.roster.learn(hello.address, hello.domain, now)
     node.roster.mark_connected(hello.address)
     node.changed = True
+    node.session_count += 1
     known = messages.RunsKnown(
         running=list(link.runs),
         ends=_reports.all_ends(link),
         state=_capacity.pool_state(node, link, now),
+        session=node.session_count,
     )
     fields = {
         'entry': link.name,
--- a/azurepier/runner/_state.py
+++ b/azurepier/runner/_state.py
@@ -256,6 +256,8 @@
         Jobs whose tasks failed or stalled since the last success.
     failed_at : float
         When a task last failed or stalled (s).
+    session_count : int
+        Number of connections to entries so far.
     changed : bool
         Whether a change has to be reported to the entries.
     """
@@ -293,6 +295,7 @@
     failed_jobs: set = attrs.field(factory=set)
     failed_at: float = 0.0
     draining: bool = False
+    session_count: int = 0
     changed: bool = False
     histograms: dict = attrs.field(factory=dict)
     counters: collections.Counter = attrs.field(factory=collections.Counter)
--- a/azurepier/wire/_codec.py
+++ b/azurepier/wire/_codec.py
@@ -66,6 +66,7 @@
         'nonce',
         'proof',
     },
+    ttypes.RunsKnown: {'session'},
     ttypes.Beat: {
         'evacuations_revision',
         'evacuated',
--- a/azurepier/wire/gen/messages/ttypes.py
+++ b/azurepier/wire/gen/messages/ttypes.py
@@ -3547,6 +3547,7 @@
      - running
      - ends
      - state
+     - session
 
     """
 
@@ -3554,13 +3555,15 @@
         'running',
         'ends',
         'state',
+        'session',
     )
 
 
-    def __init__(self, running=None, ends=None, state=None,):
+    def __init__(self, running=None, ends=None, state=None, session=None,):
         self.running = running
         self.ends = ends
         self.state = state
+        self.session = session
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3598,6 +3601,11 @@
                     self.state.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.session = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3626,6 +3634,10 @@
             oprot.writeFieldBegin('state', TType.STRUCT, 3)
             self.state.write(oprot)
             oprot.writeFieldEnd()
+        if self.session is not None:
+            oprot.writeFieldBegin('session', TType.I64, 4)
+            oprot.writeI64(self.session)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4423,6 +4435,7 @@
     (1, TType.LIST, 'running', (TType.I64, None, False), None, ),  # 1
     (2, TType.LIST, 'ends', (TType.STRUCT, [RunEnd, None], False), None, ),  # 2
     (3, TType.STRUCT, 'state', [PoolState, None], None, ),  # 3
+    (4, TType.I64, 'session', None, None, ),  # 4
 )
 all_structs.append(Beat)
 Beat.thrift_spec = (
--- a/thrift/azurepier.thrift
+++ b/thrift/azurepier.thrift
@@ -254,6 +254,7 @@
   1: list<i64> running
   2: list<RunEnd> ends      // recent ends, acknowledged or not
   3: PoolState state
+  4: i64 session            // rises with each; older versions don't send it
 }
 
 /** Keeps a link alive in both directions. */
