Raise the generation when the worker has restarted

A caller could get 503, "not run", for a job whose task a worker starts afterwards, and a task could run on two workers at the same time.

Cause: a start without an answer is voided by a stop, or ends with its worker. A worker that returns under the id that it had knows neither the stop nor the generation, and its clock starts anew, so that the deadline of the old start lies ahead. If the start is carried out then, seconds late, nothing prevents it, because the endpoint process kept its generation over the restart.

The generation is now raised by one for each new incarnation of the worker. The first list carries it, after which the worker refuses earlier starts. What it carries out before that list isn't prevented.

--- a/azurepier/runner/_lists.py
+++ b/azurepier/runner/_lists.py
@@ -151,7 +151,7 @@
     """Retry soon, and end the runs whose lease must have expired."""
     is_latest = _requests.complete_request(node, event)
     if event.old_generation:
-        _requests.raise_generation(node)
+        node.generation += 1
     out = []
     delay_s = 0.0
     if now - node.last_list_requested_at > UNREACHABLE_AFTER_S:
@@ -173,6 +173,9 @@
     node.born = born
     node.acked = 0
     node.clock_offset_ms = None
+    # The new incarnation may carry out a delayed start of the earlier one, if
+    # it has the same id. The next call makes it refuse the lower generation.
+    _requests.raise_generation(node)
     if node.worker is not None and node.worker.born != born:
         node.worker = None
         node.changed = True
