Cancel the timer that forgets an entry when it returns

Tasks ran again although they had ended: an endpoint process could forget an entry, with the ends it had not yet reported, right after it had disconnected.

Cause: the timer of an earlier disconnection went on when the entry returned, so that it could expire during a later, short one.

The timer is now cancelled on a new connection.

--- a/azurepier/runner/_links.py
+++ b/azurepier/runner/_links.py
@@ -40,6 +40,7 @@
     elif link.conn is not None:
         out.append(effects.Abort(link.conn))
         del node.by_conn[link.conn]
+    node.timers.cancel(('forget', hello.incarnation))
     link.conn = event.conn
     link.last_received_at = now
     link.store_silent = False
