Remember jobs that this entry started for an earlier submission

A caller whose first submission ended without an answer, and that submitted the job again to the same entry, could get 503, "never runs", though that entry had started tasks of it.

Cause: an entry dropped all it knew of a job when its last caller had disconnected, or when it had answered that the job may have run. With no job of this id, it concluded that nothing of it had been started.

An entry now remembers for 40 s the ids of jobs that it started and that ended without an outcome. Their rejections say that the job may have run; whether they are served is decided as before.

Other entries don't know of such a job; each entry answers from what it knows.

--- a/azurepier/dispatch/_callers.py
+++ b/azurepier/dispatch/_callers.py
@@ -47,6 +47,7 @@
         for index in reversed(range(request.count))
     ]
     job.remaining = request.count
+    job.started_before = request.id in node.started_jobs
     node.current_job = job
     _demand.record_arrival(node, job)
     _reserve.record_arrival(node, job)
@@ -115,4 +116,5 @@
         'running': len(job.running),
     }
     out = [effects.Log('job_abandoned', fields)]
+    _runs.remember_start(node, job, now)
     return out + _runs.remove_job(node, job)
--- a/azurepier/dispatch/_runs.py
+++ b/azurepier/dispatch/_runs.py
@@ -1,11 +1,14 @@
 """Starts, stops and ends of runs, and the resulting state of jobs."""
 
+import attrs
+
 from azurepier.dispatch import _bounds
 from azurepier.dispatch import _model
 from azurepier.dispatch import _state
 from azurepier.kernel import effects
 from azurepier.kernel import messages
 from azurepier.kernel import Status
+from azurepier.kernel import Verdict
 
 # Pause before a task is retried after an endpoint refused it because an
 # earlier run of the task still exists there (s).
@@ -17,6 +20,10 @@
 # Outcomes are kept this long for callers that resubmit a job (s).
 OUTCOME_RETENTION_S = 15.0
 
+# Jobs that were started and have no outcome are remembered this long (s);
+# callers submit a job again for up to 40 s.
+STARTED_RETENTION_S = 40.0
+
 # Refusals that are usual when several entries compete for the same capacity.
 # They are counted in the log line of the job's end, since a line for each
 # would make up most of the log.
@@ -114,6 +121,10 @@
 
 def finish_job(node, job, answer, now):
     """Answer the callers of a job and remove it; return the effects."""
+    if isinstance(answer, _model.Rejected):
+        remember_start(node, job, now)
+        if job.started_before and answer.verdict is Verdict.NOT_RUN:
+            answer = attrs.evolve(answer, verdict=Verdict.MAY_HAVE_RUN)
     out = remove_job(node, job)
     out += [effects.Answer(req, answer) for req in sorted(job.reqs)]
     fields = {
@@ -151,6 +162,19 @@
     return out
 
 
+def remember_start(node, job, now):
+    """Remember that a job without an outcome was started, if it was."""
+    started_jobs = node.started_jobs
+    if job.has_started or job.started_before:
+        started_jobs[job.request.id] = now
+        started_jobs.move_to_end(job.request.id)
+    while (
+        started_jobs
+        and next(iter(started_jobs.values())) < now - STARTED_RETENTION_S
+    ):
+        started_jobs.popitem(last=False)
+
+
 def remove_job(node, job):
     """Stop a job's runs and remove it; return the effects."""
     out = stop_runs(node, job)
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -85,6 +85,8 @@
         Number of tasks that have not succeeded.
     may_have_run : bool
         Whether a run has ended that the worker may have started.
+    started_before : bool
+        Whether this entry started the job for an earlier submission.
     """
 
     reqs: set
@@ -97,6 +99,7 @@
     running: set = attrs.field(factory=set)
     remaining: int = 0
     may_have_run: bool = False
+    started_before: bool = False
     # Times of the first and the latest start (s), and number of starts by
     # endpoint name, for the log.
     first_start_at: float | None = None
@@ -249,6 +252,9 @@
         By the request of a caller.
     recent_outcomes : OrderedDict
         Time and answer of jobs that ended recently, by job id.
+    started_jobs : OrderedDict
+        Time at which a job that had started was removed without an outcome,
+        by job id.
     endpoints : dict of str to Endpoint
         By incarnation; includes endpoints that are disconnected.
     by_conn : dict of int to Endpoint
@@ -281,6 +287,9 @@
     recent_outcomes: collections.OrderedDict = attrs.field(
         factory=collections.OrderedDict
     )
+    started_jobs: collections.OrderedDict = attrs.field(
+        factory=collections.OrderedDict
+    )
     endpoints: dict = attrs.field(factory=dict)
     by_conn: dict = attrs.field(factory=dict)
     peers: dict = attrs.field(factory=dict)
--- a/azurepier/dispatch/tests/test_memory_of_runs.py
+++ b/azurepier/dispatch/tests/test_memory_of_runs.py
@@ -1,5 +1,7 @@
 """What entries and endpoint processes still know of earlier runs."""
 
+from azurepier import dispatch
+from azurepier.kernel import events
 from azurepier import testing
 
 
@@ -36,3 +38,27 @@
         fleet.run_for(0.2)
         assert link.conn is None
         assert list(endpoint.node.links.values()) == [link]
+
+
+class TestResubmittedJob:
+    def test_job_that_this_entry_started_is_not_answered_not_run(self):
+        """Guards against "never runs" for a job that was abandoned here.
+
+        The entry has started the task itself and has got its end.
+        """
+        fleet = testing.make_pool(entries=1, speeds=(1.0,), cpu=1000)
+        entry = fleet.entries['e0']
+        call = fleet.submit(0.6, entry='e0')
+        fleet.run_for(0.1)
+        assert sum(fleet.ledger.started.values()) == 1
+        fleet.open_calls.pop(call.req)
+        driver = fleet.driver
+        driver.feed(entry, events.Abandon(call.req))
+        fleet.run_for(0.3)
+        # The worker drains, so that the job is rejected.
+        fleet.workers['w0'].leaving = True
+        fleet.run_for(1.6)
+        driver.feed(entry, dispatch.Submit(1000, call.queue, call.job))
+        fleet.run_for(4.0)
+        _, answer = driver.answers['e0', 1000]
+        assert answer.verdict is dispatch.Verdict.MAY_HAVE_RUN
