Log the age of runs when their worker is lost

run_stopped had the time until the lease was over, and nothing told when the worker had stopped answering, so a crash soon after a start couldn't be told from a loss of long runs. An endpoint process now keeps the time of the first failed call since the worker's last answer; worker_lost and run_stopped give ages at that time.

--- a/azurepier/runner/_ends.py
+++ b/azurepier/runner/_ends.py
@@ -28,8 +28,11 @@
     return effects.Log(event, fields)
 
 
-def end_run(node, run, status, reason, now):
-    """Remove a run and queue the report of its end for the entry."""
+def end_run(node, run, status, reason, now, lost_age_s=None):
+    """Remove a run and queue the report of its end for the entry.
+
+    `lost_age_s` is the age of a run at the loss of its worker (s).
+    """
     order = run.order
     del node.runs[order.task]
     run.link.runs.pop(order.seq, None)
@@ -47,13 +50,7 @@
     if status is Status.DONE:
         return []
     run.reason = reason
-    return [run_log_event(node, f'run_{status.name.lower()}', run, now)]
-
-
-def end_all_runs(node, reason, now):
-    """End all runs, because the worker has lost or stopped them."""
-    node.orphaned_runs.clear()
-    out = []
-    for run in list(node.runs.values()):
-        out += end_run(node, run, Status.STOPPED, reason, now)
-    return out
+    event = run_log_event(node, f'run_{status.name.lower()}', run, now)
+    if lost_age_s is not None:
+        event.fields['lost_age_ms'] = round(lost_age_s * MS_PER_S)
+    return [event]
--- a/azurepier/runner/_lists.py
+++ b/azurepier/runner/_lists.py
@@ -7,6 +7,7 @@
 from azurepier.dispatch import bounds
 from azurepier.kernel import effects
 from azurepier.kernel import Status
+from azurepier.runner import _crashes
 from azurepier.runner import _ends
 from azurepier.runner import _model
 from azurepier.runner import _progress
@@ -39,6 +40,7 @@
         return []
     node.last_list_requested_at = event.requested_at
     out = _check_incarnation(node, event.born, now)
+    _crashes.record_answer(node)
     is_first_list = node.clock_offset_ms is None
     node.clock_offset_ms = event.clock_ms - now * _ends.MS_PER_S
     if not node.reachable or is_first_list:
@@ -150,6 +152,7 @@
 def on_list_failed(node, event, now):
     """Retry soon, and end the runs whose lease must have expired."""
     is_latest = _requests.complete_request(node, event)
+    _crashes.record_failed_call(node, now)
     if event.old_generation:
         _requests.raise_generation(node)
     out = []
@@ -160,9 +163,9 @@
     if is_latest:
         node.timers.set('list', now + delay_s)
     if event.other_worker:
-        return out + _ends.end_all_runs(node, 'other_worker', now)
+        return out + _crashes.end_lost_runs(node, 'other_worker', now)
     if now > node.lease_end_at + bounds.LEASE_MARGIN_S and node.runs:
-        return out + _ends.end_all_runs(node, 'lease_over', now)
+        return out + _crashes.end_lost_runs(node, 'lease_over', now)
     return out
 
 
@@ -177,7 +180,7 @@
         node.worker = None
         node.changed = True
     out = [effects.Log('worker_restarted', {'born': born})]
-    return out + _ends.end_all_runs(node, 'worker_restarted', now)
+    return out + _crashes.end_lost_runs(node, 'worker_restarted', now)
 
 
 def on_new_incarnation(node, born, now):
--- a/azurepier/runner/_orders.py
+++ b/azurepier/runner/_orders.py
@@ -15,6 +15,7 @@
 from azurepier.kernel import effects
 from azurepier.kernel import Status
 from azurepier.runner import _capacity
+from azurepier.runner import _crashes
 from azurepier.runner import _ends
 from azurepier.runner import _evacuation
 from azurepier.runner import _model
@@ -36,6 +37,9 @@
 REMEMBERED_NUMBERS_MAX = 4096
 # Time without new runs after a worker answered that it is unhealthy (s).
 UNHEALTHY_PAUSE_S = 0.5
+_FAILED_CALLS = frozenset(
+    {_model.StartResult.NOT_SENT, _model.StartResult.NO_ANSWER}
+)
 
 
 def on_orders(node, link, msg, now):
@@ -106,6 +110,10 @@
 
 def on_start_answered(node, event, now):
     """Process the worker's answer to a start."""
+    if event.result is _model.StartResult.STARTED:
+        _crashes.record_answer(node)
+    if event.result in _FAILED_CALLS:
+        _crashes.record_failed_call(node, now)
     run = node.runs.get(event.task)
     if run is None or run.number != event.number:
         return []
--- a/azurepier/runner/_state.py
+++ b/azurepier/runner/_state.py
@@ -235,6 +235,8 @@
         Run numbers, by task, of runs that no entry ordered.
     last_run_numbers : OrderedDict of str to int
         Highest run number by task, least recently used first.
+    failing_since : float or None
+        When the first call failed since the worker's last answer (s).
     unhealthy_until : float
         Earliest time of new runs after the worker refused one because it is
         unhealthy (s).
@@ -275,6 +277,7 @@
     used_cpu: int = 0
     used_mem_mb: int = 0
     used_gpu: int = 0
+    failing_since: float | None = None
     unhealthy_until: float = 0.0
     speed_estimate: object = attrs.field(factory=SpeedEstimate)
     trial: object = attrs.field(factory=Trial)
