Add tests of tasks that crash their workers, which fail

Simulated workers get tasks that crash them some time after the start, and refuse connections for 3.3 s after a crash; the ledger counts starts after three crashes.

--- /dev/null
+++ b/azurepier/dispatch/tests/test_crashes.py
@@ -0,0 +1,136 @@
+"""Tasks that crash their workers, in virtual time."""
+
+import collections
+
+import pytest
+
+from azurepier import dispatch
+from azurepier import testing
+
+SPEEDS = (1.0,) * 8
+# Jobs of this queue are not rejected for being late.
+PATIENT = testing.queue(margin_s=60.0)
+# Time after which all jobs of a test have ended (s).
+SETTLE_S = 40.0
+
+
+def failed(call):
+    return call.body == dispatch.Finished(False)
+
+
+def succeeded(call):
+    return call.body == dispatch.Finished(True)
+
+
+def crash_count(fleet):
+    return sum(fleet.ledger.crashes.values())
+
+
+def events_of(fleet, name):
+    """Return the fields of the logged events with this name."""
+    return [
+        effect.fields
+        for _, _, effect in fleet.driver.log_effects
+        if effect.event == name
+    ]
+
+
+def submit_background(fleet, seconds, per_s, deadly_share):
+    """Submit jobs of two tasks evenly, and return calls by deadliness."""
+    calls = collections.defaultdict(list)
+    for number in range(round(seconds * per_s)):
+        draw = fleet.driver.rng.random()
+        deadly = (0,) if draw < deadly_share else ()
+        work_s = (0.06, 0.2, 0.8)[number % 3]
+        call = fleet.submit(work_s, count=2, deadly=deadly, queue=PATIENT)
+        calls[bool(deadly)].append(call)
+        fleet.run_for(1.0 / per_s)
+    return calls
+
+
+class TestBound:
+    def test_deadly_task_is_given_up(self):
+        """Guards against a task that crashes worker after worker."""
+        fleet = testing.make_pool(speeds=SPEEDS)
+        call = fleet.submit(0.1, count=4, deadly=(0,))
+        fleet.run_for(SETTLE_S)
+        assert failed(call)
+        assert crash_count(fleet) <= 5
+        assert sum(fleet.ledger.excess_starts.values()) <= 2
+
+    def test_slow_to_crash(self):
+        """The bound must hold for tasks that crash long after their start."""
+        fleet = testing.make_pool(speeds=SPEEDS)
+        call = fleet.submit(3.0, deadly=(0,))
+        fleet.deadly[testing.task_names(call.job)[0]] = 0.7
+        submit_background(fleet, 20.0, 30, 0.0)
+        fleet.run_for(SETTLE_S)
+        assert failed(call)
+        assert sum(fleet.ledger.excess_starts.values()) <= 2
+
+    @pytest.mark.parametrize('share', [0.1, 0.3, 0.5])
+    @pytest.mark.parametrize('seed', [1, 2])
+    def test_many_deadly_tasks(self, share, seed):
+        """Guards against starts beyond the bound when suspicion is spread."""
+        fleet = testing.make_pool(seed=seed, speeds=SPEEDS)
+        calls = submit_background(fleet, 10.0, 10, share)
+        fleet.run_for(SETTLE_S)
+        excess = fleet.ledger.excess_starts
+        assert max(excess.values(), default=0) <= 2
+        assert fleet.ledger.overlaps == []
+        assert all(map(failed, calls[True]))
+
+    def test_submitted_again_at_the_same_entry(self):
+        """Guards against a count that ends with the caller's connection."""
+        fleet = testing.make_pool(entries=1, speeds=SPEEDS)
+        call = fleet.submit(0.1, deadly=(0,))
+        for _ in range(6):
+            fleet.run_for(1.0)
+            fleet.disconnect_caller(call)
+        fleet.run_for(SETTLE_S)
+        assert failed(call)
+        assert sum(fleet.ledger.excess_starts.values()) <= 2
+
+
+class TestInnocentTasks:
+    def test_neighbour_of_a_deadly_task(self):
+        """Guards against giving up tasks that shared a deadly one's worker."""
+        fleet = testing.make_pool(speeds=(1.0, 1.0, 1.0))
+        neighbours = [fleet.submit(2.0, count=2) for _ in range(4)]
+        fleet.run_for(0.05)
+        deadly = [fleet.submit(0.1, deadly=(0,)) for _ in range(3)]
+        fleet.run_for(SETTLE_S)
+        assert all(map(failed, deadly))
+        assert all(map(succeeded, neighbours))
+
+    @pytest.mark.parametrize('seed', [1, 2, 3])
+    def test_background_survives(self, seed):
+        """Guards against a count that blames whatever was on a worker."""
+        fleet = testing.make_pool(seed=seed, speeds=SPEEDS)
+        calls = submit_background(fleet, 10.0, 20, 0.05)
+        fleet.run_for(SETTLE_S)
+        assert calls[True]
+        assert all(map(failed, calls[True]))
+        assert not any(map(failed, calls[False]))
+
+    def test_workers_that_crash_by_themselves(self):
+        """Guards against blaming a task for a crash it has no part in."""
+        fleet = testing.make_pool(speeds=(1.0, 1.0, 1.0))
+        calls = [fleet.submit(1.5, count=2) for _ in range(4)]
+        for name in ('w0', 'w1'):
+            fleet.run_for(1.0)
+            fleet.workers[name].go_down()
+        fleet.run_for(SETTLE_S)
+        assert all(map(succeeded, calls))
+
+    def test_power_loss_of_all_workers(self):
+        """Guards against blaming tasks for a loss of power."""
+        fleet = testing.make_pool(speeds=(1.0, 1.0, 1.0))
+        calls = [fleet.submit(1.0, count=2) for _ in range(4)]
+        for _ in range(2):
+            fleet.run_for(0.5)
+            for worker in fleet.workers.values():
+                worker.go_down(1.0)
+            fleet.run_for(1.5)
+        fleet.run_for(SETTLE_S)
+        assert all(map(succeeded, calls))
--- a/azurepier/testing/__init__.py
+++ b/azurepier/testing/__init__.py
@@ -8,6 +8,8 @@
 from azurepier.testing._fleet import Fleet
 from azurepier.testing._fleet import make_fleet
 from azurepier.testing._fleet import spec
+from azurepier.testing._ledger import Ledger
+from azurepier.testing._ledger import run_time_factor
 from azurepier.testing._load import count_late
 from azurepier.testing._load import count_rejected
 from azurepier.testing._load import objective_ratio
@@ -19,9 +21,7 @@
 from azurepier.testing._pool import queue
 from azurepier.testing._pool import task_names
 from azurepier.testing import _scale as scale
-from azurepier.testing._worker import Ledger
 from azurepier.testing._worker import PoolWorker
-from azurepier.testing._worker import run_time_factor
 
 __all__ = [
     'Driver',
--- a/azurepier/testing/_pool.py
+++ b/azurepier/testing/_pool.py
@@ -10,6 +10,7 @@
 from azurepier import membership
 from azurepier import runner
 from azurepier.testing import _driver
+from azurepier.testing import _ledger
 from azurepier.testing import _worker
 
 HEARTBEAT_INTERVAL_S = 1.5
@@ -20,6 +21,8 @@
 STORE_WATCH_S = 1.5
 # One-way delay on the same machine (s).
 LOCAL_DELAY_S = 0.0005
+# Time after its start at which a deadly task crashes its worker (s).
+CRASH_DELAY_S = 0.01
 
 
 @attrs.frozen
@@ -88,10 +91,12 @@
         Evacuated failure domains according to the store.
     store_cut : set of str
         Names of the processes that are cut off from the store.
+    deadly : dict of str to float
+        Time after its start at which a task crashes its worker (s).
     """
 
     driver: _driver.Driver
-    ledger: _worker.Ledger
+    ledger: _ledger.Ledger
     work_by_spec: dict = attrs.field(factory=dict)
     entries: dict = attrs.field(factory=dict)
     endpoints: dict = attrs.field(factory=dict)
@@ -104,6 +109,7 @@
     incarnation_count: int = 0
     evacuations: object = membership.Evacuations(1, frozenset())
     store_cut: set = attrs.field(factory=set)
+    deadly: dict = attrs.field(factory=dict)
     uneven: float = 0.0
     domains: int = 1
 
@@ -188,6 +194,7 @@
             self.work_by_spec.__getitem__,
             rng=random.Random(f'{self.driver.seed}-{name}'),
             uneven=self.uneven,
+            deadly=self.deadly,
         )
         self.workers[name] = worker
         self.driver.after(0.05, self._heartbeat, name)
@@ -196,7 +203,8 @@
     def _heartbeat(self, name):
         worker = self.workers[name]
         process = self.endpoints.get(name)
-        if process is not None and process.alive and not worker.unresponsive:
+        silent = worker.unresponsive or worker.down
+        if process is not None and process.alive and not silent:
             self.driver.feed(process, runner.WorkerReported(worker.report()))
         self.driver.after(HEARTBEAT_INTERVAL_S, self._heartbeat, name)
 
@@ -226,6 +234,8 @@
             Declared run time of a task (ms); the actual one by default.
         fails : bool, optional
             Whether the tasks fail.
+        deadly : sequence of int, optional
+            Tasks that crash each worker that starts them.
         queue : Queue, optional
         """
         number = len(self.calls)
@@ -238,6 +248,8 @@
             declared_ms=options.get('declared_ms', round(work_s * 1000)),
             resources=dispatch.Resources(cpu),
         )
+        for index in options.get('deadly', ()):
+            self.deadly[task_names(job)[index]] = CRASH_DELAY_S
         call = Call(
             job, options.get('queue', queue()), self.driver.now, entry or ''
         )
@@ -334,7 +346,7 @@
         seed, lambda a, b: LOCAL_DELAY_S if a is b else delay_s
     )
     cpus = [cpu] * len(speeds) if isinstance(cpu, int) else cpu
-    fleet = PoolFleet(driver, _worker.Ledger(), domains=domains, uneven=uneven)
+    fleet = PoolFleet(driver, _ledger.Ledger(), domains=domains, uneven=uneven)
     driver.on_answer = fleet.on_answer
     driver.log_effects = []
     driver.effect_handlers[runner.StartRun] = lambda _, process, effect: (
--- a/azurepier/testing/_worker.py
+++ b/azurepier/testing/_worker.py
@@ -5,63 +5,13 @@
 import attrs
 
 from azurepier import runner
+from azurepier.testing import _ledger
 
 # Range of the delay of requests that are executed late (s).
 DELAY_MIN_S = 2.0
 DELAY_MAX_S = 12.0
-
-
-def run_time_factor(task, uneven):
-    """Return the ratio of a task's run time to the mean of its job.
-
-    Parameters
-    ----------
-    task : str
-        Name of the task.
-    uneven : float
-        Largest relative deviation; 0 if all tasks of a job are equal.
-    """
-    if not uneven:
-        return 1.0
-    return 1.0 + random.Random(task).uniform(-uneven, uneven)
-
-
-@attrs.define(eq=False)
-class Ledger:
-    """Record of the runs on all workers of a fleet.
-
-    Attributes
-    ----------
-    running : dict of str to set
-        ``(worker, number)`` of the current runs by task.
-    overlaps : list of tuple
-        ``(time, task, workers)`` where two runs of a task overlapped.
-    started, done : dict of str to int
-        Numbers of started and of succeeded runs by task.
-    starts : list of tuple
-        ``(time, worker)`` of each start.
-    """
-
-    running: dict = attrs.field(factory=dict)
-    overlaps: list = attrs.field(factory=list)
-    started: dict = attrs.field(factory=dict)
-    done: dict = attrs.field(factory=dict)
-    starts: list = attrs.field(factory=list)
-
-    def begin(self, now, task, worker, number):
-        """Record the start of a run."""
-        runs = self.running.setdefault(task, set())
-        runs.add((worker, number))
-        self.starts.append((now, worker))
-        self.started[task] = self.started.get(task, 0) + 1
-        if len(runs) > 1:
-            self.overlaps.append((now, task, sorted(runs)))
-
-    def end(self, task, worker, number, done):
-        """Record the end of a run."""
-        self.running[task].discard((worker, number))
-        if done:
-            self.done[task] = self.done.get(task, 0) + 1
+# Time for which a worker is away after a crash (s).
+DOWN_S = 3.3
 
 
 @attrs.define(eq=False)
@@ -82,7 +32,7 @@
     Parameters
     ----------
     driver : Driver
-    ledger : Ledger
+    ledger : _ledger.Ledger
     name : str
     cpu : int
         Capacity in thousandths of a core.
@@ -119,10 +69,14 @@
         the end of a run.
     lease_expirations : int
         Number of runs that ended because the lease expired.
+    deadly : dict of str to float
+        Time after its start at which a task crashes the worker (s).
+    down : bool
+        Whether the worker has crashed and refuses connections.
     """
 
     driver: object
-    ledger: Ledger
+    ledger: object
     name: str
     cpu: int
     speed: float
@@ -150,6 +104,8 @@
     pending_requests: list = attrs.field(factory=list)
     process: object = None
     lease_expirations: int = 0
+    deadly: dict = attrs.field(factory=dict)
+    down: bool = False
 
     def clock(self):
         """Return the time on the worker's clock (ms)."""
@@ -181,6 +137,25 @@
         self.highest_numbers.clear()
         self.slowdown, self.failing = 1.0, False
 
+    def go_down(self, down_s=DOWN_S):
+        """Crash, and refuse connections for some time (s)."""
+        self.crash()
+        self.down = True
+        self.driver.after(down_s, setattr, self, 'down', False)
+        for process, _, number in self.pending_requests:
+            self._fail_list(process, number)
+        self.pending_requests.clear()
+
+    def _fail_list(self, process, number):
+        event = runner.ListFailed('connection refused', number)
+        self.driver.after(0.0005, self.driver.feed, process, event)
+
+    def _crash_by(self, run):
+        if self.runs.get(run.task) is run:
+            crashes = self.ledger.crashes
+            crashes[run.task] = crashes.get(run.task, 0) + 1
+            self.go_down()
+
     def start(self, process, effect):
         """Execute a start request, subject to the faults."""
         self._call(process, effect, self._start, self._start_answer)
@@ -192,7 +167,10 @@
     def _call(self, process, effect, execute, answer):
         transit_s = self.driver.delay(process, process)
         draw = self.rng.random()
-        if self.unresponsive:
+        if self.down:
+            refused = runner.StartResult.NOT_SENT
+            self.driver.after(transit_s, answer, process, effect, refused)
+        elif self.unresponsive:
             self.driver.after(0.06, answer, process, effect, None)
         elif draw < self.delayed_share:
             delay_s = self.rng.uniform(DELAY_MIN_S, DELAY_MAX_S)
@@ -219,6 +197,8 @@
         answer(process, effect, execute(effect))
 
     def _start(self, effect):
+        if self.down:
+            return None
         result = self._check(effect)
         self.lease_ms = max(self.lease_ms, effect.lease_ms)
         if result is not runner.StartResult.STARTED:
@@ -226,7 +206,7 @@
         if effect.task in self.runs:
             return result
         work_s, cpu, fails = self.get_work(effect.spec)
-        work_s *= run_time_factor(effect.task, self.uneven)
+        work_s *= _ledger.run_time_factor(effect.task, self.uneven)
         run = _Run(effect.task, effect.number, work_s, cpu)
         run.updated_at = self.driver.now
         self.runs[effect.task] = run
@@ -236,7 +216,10 @@
         )
         used = sum(each.cpu for each in self.runs.values())
         self.peak_cpu = max(self.peak_cpu, used)
-        if self.failing or fails:
+        if effect.task in self.deadly:
+            delay_s = self.deadly[effect.task]
+            self.driver.after(delay_s, self._crash_by, run)
+        elif self.failing or fails:
             self.driver.after(0.01, self._fail_run, run)
         else:
             self._schedule_completion(run)
@@ -281,12 +264,15 @@
 
     def _stop_answer(self, process, effect, confirmed):
         event = runner.StopAnswered(
-            effect.task, effect.number, bool(confirmed)
+            effect.task, effect.number, confirmed is True
         )
         self.driver.feed(process, event)
 
     def list(self, process, effect):
         """Renew the lease and list the runs, after a wait if requested."""
+        if self.down:
+            self._fail_list(process, effect.number)
+            return
         if self.unresponsive or self.rng.random() < self.delayed_share:
             self.driver.after(
                 effect.wait_ms / 1000 + runner.LIST_TIMEOUT_MARGIN_S,
@@ -336,6 +322,9 @@
             self.driver.after(0.0005, self._send_list, *pending_request)
 
     def _send_list(self, process, requested_at, number):
+        if self.down:
+            self._fail_list(process, number)
+            return
         for run in self.runs.values():
             self._update_progress(run)
         event = runner.RunsListed(
