Limit the starts of a task under which workers were lost

Nothing counted the runs that end with their worker, so that a task which crashes each worker was started until its caller left: with a patient caller on virtual time, without end. An entry now counts them by task name, also beyond the job, and after three allows two more starts; then the job is answered as failed and task_given_up names the endpoints. Starts that did not begin are given back, so that the limit counts runs.

--- a/azurepier/dispatch/_callers.py
+++ b/azurepier/dispatch/_callers.py
@@ -1,5 +1,6 @@
 """Submission of jobs, and disconnection of callers."""
 
+from azurepier.dispatch import _crashes
 from azurepier.dispatch import _demand
 from azurepier.dispatch import _drain
 from azurepier.dispatch import _evacuation
@@ -71,6 +72,9 @@
     if rejection is not None:
         rejected = _model.Rejected(*rejection)
         return out + _runs.finish_job(node, job, rejected, now)
+    for task in job.waiting:
+        if _crashes.is_given_up(node, task.name):
+            return out + _runs.give_up(node, task, now)
     return out
 
 
--- a/azurepier/dispatch/_runs.py
+++ b/azurepier/dispatch/_runs.py
@@ -1,6 +1,7 @@
 """Starts, stops and ends of runs, and the resulting state of jobs."""
 
 from azurepier.dispatch import _bounds
+from azurepier.dispatch import _crashes
 from azurepier.dispatch import _model
 from azurepier.dispatch import _state
 from azurepier.kernel import effects
@@ -76,6 +77,7 @@
         expected_ms=job.request.declared_ms,
     )
     batch.orders.append(order)
+    _crashes.record_start(node, task.name)
     node.count('starts')
 
 
@@ -200,6 +202,7 @@
         }
         out.append(effects.Log('run_not_done', fields))
         node.count(f'runs_{status.name.lower()}')
+    out += _crashes.record_end(node, endpoint, run, status, reason, now)
     if task is None:
         return out
     job = node.current_job = task.job
@@ -245,7 +248,9 @@
 
 
 def _requeue(node, endpoint, task, reason, now):
-    """Return a task to the waiting tasks of its job."""
+    """Return a task to the waiting tasks of its job, unless it is given up."""
+    if _crashes.is_given_up(node, task.name):
+        return give_up(node, task, now)
     if reason == 'already_there':
         task.not_before = now + STILL_RUNNING_PAUSE_S
         node.timers.set('pass', task.not_before)
@@ -253,4 +258,10 @@
     return []
 
 
+def give_up(node, task, now):
+    """Answer the callers of a job that one of its tasks has failed."""
+    event = _crashes.give_up_event(node, task)
+    return [event, *finish_job(node, task.job, _model.Finished(False), now)]
+
+
 _ON_STATUS = {Status.DONE: _on_done, Status.FAILED: _on_failed}
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -253,6 +253,9 @@
         Connected entries, by connection.
     run_count_by_task : collections.Counter
         Number of runs by task name; includes runs of ended jobs.
+    crash_records : OrderedDict of str to Record
+        What is known of tasks whose runs have ended with their worker, by
+        task name, least recent first.
     last_event_at : float
         Time of the last event (s).
     dirty : bool
@@ -283,6 +286,9 @@
     run_count_by_task: collections.Counter = attrs.field(
         factory=collections.Counter
     )
+    crash_records: collections.OrderedDict = attrs.field(
+        factory=collections.OrderedDict
+    )
     routing: object = None
     # Evacuated failure domains, None before the first update of them, and the
     # time of the latest answer of the store (s).
