Find the task that crashes its workers, and start suspects alone

A count of lost workers blames the neighbours of a deadly task: ten runs end with each crash, and all of them were started again on the same worker at once. An endpoint process sees the runs of all entries, so after a crash (connections refused, or a new incarnation) it names the runs that were started last before it, within 0.1 s, as suspects. Their entries start them again apart from each other, on the least used workers and on half of the pool at most; an endpoint process starts a suspect only with no other start within 0.1 s. A worker that crashes then has been crashed by it: the job fails at once, after two crashes. Tasks that only shared a worker keep the limit of five starts. A worker that is only silent names no suspects.

An endpoint process remembers the tasks lost with its worker and refuses each once to any entry that doesn't know, so that a count outlives its entry as far as the workers that it lost are asked again.

RunOrder has a new optional field, suspicion.

--- a/azurepier/dispatch/_crashes.py
+++ b/azurepier/dispatch/_crashes.py
@@ -4,12 +4,19 @@
 the runs of other tasks with it. Without a bound, one task takes worker after
 worker out of the pool for as long as its caller waits.
 
+After a crash, an endpoint process names the tasks that may be the cause.
+These are started apart from each other, on the workers with the least to
+lose, and at most half of the pool's workers are used for them at a time. A
+task under which a worker crashes while it is started alone is the cause, and
+is given up; one that only shared its workers is not.
+
 The count is kept by the task's name, beyond the job: a caller that leaves and
 submits its job again finds it.
 """
 
 import attrs
 
+from azurepier.dispatch import _placement
 from azurepier.kernel import effects
 from azurepier.kernel import Status
 
@@ -17,13 +24,31 @@
 # number of starts that it has left then.
 LOSSES_MAX = 3
 STARTS_AFTER_LOSSES = 2
+# Share of the open endpoints that may have suspect tasks at a time.
+SUSPECT_ENDPOINTS_SHARE = 0.5
+# Relative random change of an endpoint's use, so that entries choose different
+# ones for their suspect tasks.
+CHOICE_JITTER = 0.3
 # Maximum number of tasks whose lost workers are remembered.
 REMEMBERED_TASKS_MAX = 4096
 
 # Reasons of ends that mean that the worker has ended, or may have.
 _LOSS_REASONS = frozenset(
-    {'lease_over', 'worker_restarted', 'other_worker', 'endpoint_gone'}
+    {
+        'crash_suspect',
+        'crash_cause',
+        'lease_over',
+        'worker_restarted',
+        'other_worker',
+        'endpoint_gone',
+    }
+)
+# Refusals by which an endpoint process tells of a loss that another entry saw.
+_TOLD_REASONS = frozenset(
+    {'crash_suspect_here', 'crash_cause_here', 'lost_here'}
 )
+_CAUSE_REASONS = frozenset({'crash_cause', 'crash_cause_here'})
+_SUSPECT_REASONS = _CAUSE_REASONS | {'crash_suspect', 'crash_suspect_here'}
 _NOT_STARTED_STATUSES = frozenset({Status.REFUSED, Status.LEAVING})
 
 
@@ -35,14 +60,64 @@
     ----------
     workers : list of (str, str)
         Name and incarnation of the endpoint process of each lost run.
+    suspicions : int
+        Number of crashes of which the task was named as the possible cause.
+    is_cause : bool
+        Whether a worker has crashed while the task was started alone.
     starts_left : int or None
         Number of starts that the task has left, None if not limited.
     """
 
     workers: list = attrs.field(factory=list)
+    suspicions: int = 0
+    is_cause: bool = False
     starts_left: int | None = None
 
 
+def suspicion(node, name):
+    """Return the number of crashes of which a task may be the cause."""
+    record = node.crash_records.get(name)
+    return 0 if record is None else record.suspicions
+
+
+def choose_apart(node, open_endpoints, job):
+    """Return the endpoints for the next task of a job, which is suspect.
+
+    Parameters
+    ----------
+    node : Entry
+    open_endpoints : list of Endpoint
+        Those of the job's pool.
+    job : Job
+
+    Returns
+    -------
+    list of Endpoint
+        The least used one that has no suspect task, if any.
+    """
+    used = [
+        endpoint
+        for endpoint in open_endpoints
+        if any(run.is_suspect for run in endpoint.runs.values())
+    ]
+    limit = max(len(open_endpoints) * SUSPECT_ENDPOINTS_SHARE, 1)
+    if len(used) + 1 > limit:
+        return []
+    candidates = [
+        endpoint
+        for endpoint in open_endpoints
+        if endpoint not in used
+        and _placement.fits(endpoint, job.request.resources)
+    ]
+
+    def use(endpoint):
+        free_share = endpoint.free_cpu / max(endpoint.cpu, 1)
+        jitter = CHOICE_JITTER * node.rng.random()
+        return (1.0 - free_share) * (1.0 + jitter) + 0.01 * jitter
+
+    return sorted(candidates, key=use)[:1]
+
+
 def record_start(node, name):
     """Count a start of a task against its limit."""
     record = node.crash_records.get(name)
@@ -65,11 +140,16 @@
         record = node.crash_records.get(run.name)
         if record is not None and record.starts_left is not None:
             record.starts_left += 1
-        return []
-    if reason not in _LOSS_REASONS:
+        if reason not in _TOLD_REASONS:
+            return []
+    elif reason not in _LOSS_REASONS:
         return []
     record = _remember(node, run.name)
     record.workers.append((endpoint.name, endpoint.incarnation))
+    if reason in _SUSPECT_REASONS:
+        record.suspicions += 1
+    if reason in _CAUSE_REASONS:
+        record.is_cause = True
     if len(record.workers) == LOSSES_MAX:
         record.starts_left = STARTS_AFTER_LOSSES
     node.count('runs_lost_with_worker')
@@ -78,6 +158,8 @@
         'endpoint': endpoint.name,
         'reason': reason,
         'losses': len(record.workers),
+        'suspicions': record.suspicions,
+        'is_cause': record.is_cause,
         'starts_left': record.starts_left,
     }
     return [effects.Log('task_lost_worker', fields)]
@@ -94,7 +176,7 @@
 def is_given_up(node, name):
     """Tell whether a task must not be started any more."""
     record = node.crash_records.get(name)
-    return record is not None and record.starts_left == 0
+    return record is not None and (record.is_cause or record.starts_left == 0)
 
 
 def give_up_event(node, task):
@@ -105,6 +187,8 @@
         'job_id': task.job.request.id,
         'task': task.name,
         'losses': len(record.workers),
+        'suspicions': record.suspicions,
+        'is_cause': record.is_cause,
         'endpoints': [name for name, _ in record.workers],
     }
     return effects.Log('task_given_up', fields)
--- a/azurepier/dispatch/_pass.py
+++ b/azurepier/dispatch/_pass.py
@@ -1,6 +1,7 @@
 """Dispatch pass over the waiting jobs: starts and rejections."""
 
 from azurepier.dispatch import _bounds
+from azurepier.dispatch import _crashes
 from azurepier.dispatch import _evacuation
 from azurepier.dispatch import _model
 from azurepier.dispatch import _order
@@ -94,9 +95,10 @@
             node, open_endpoints, job, now
         ):
             return
-        endpoint = _placement.choose(
-            open_endpoints, job, now, node.rng, allow_late
-        )
+        endpoints = open_endpoints
+        if _crashes.suspicion(node, task.name):
+            endpoints = _crashes.choose_apart(node, open_endpoints, job)
+        endpoint = _placement.choose(endpoints, job, now, node.rng, allow_late)
         if endpoint is None:
             return
         _runs.start_run(node, endpoint, job, now)
--- a/azurepier/dispatch/_runs.py
+++ b/azurepier/dispatch/_runs.py
@@ -11,6 +11,13 @@
 # Pause before a task is retried after an endpoint refused it because an
 # earlier run of the task still exists there (s).
 STILL_RUNNING_PAUSE_S = 0.1
+# Pause before a suspect task is ordered again after an endpoint process
+# refused it because of other starts there (s).
+SUSPECT_PAUSE_S = 0.03
+_PAUSE_S = {
+    'already_there': STILL_RUNNING_PAUSE_S,
+    'suspect_there': SUSPECT_PAUSE_S,
+}
 # Number of distinct endpoints on which a task has to fail before its job
 # fails; fewer if the pool has fewer.
 MIN_FAILED_ENDPOINTS = 2
@@ -21,7 +28,9 @@
 # Refusals that are usual when several entries compete for the same capacity.
 # They are counted in the log line of the job's end, since a line for each
 # would make up most of the log.
-_COMMON_REFUSALS = frozenset({'no_room', 'on_trial', 'evacuated'})
+_COMMON_REFUSALS = frozenset(
+    {'no_room', 'on_trial', 'evacuated', 'suspect_there'}
+)
 _NOT_RUN_STATUSES = frozenset({Status.REFUSED, Status.LEAVING})
 
 
@@ -49,6 +58,8 @@
     resources = job.request.resources
     run = _state.Run(seq, task, task.name, resources, now, expected_end_at)
     task.run = run
+    suspicion = _crashes.suspicion(node, task.name)
+    run.is_suspect = suspicion > 0
     if not endpoint.runs:
         endpoint.busy_since = now
     endpoint.runs[seq] = run
@@ -75,6 +86,7 @@
         mem_mb=resources.mem_mb,
         gpu=resources.gpu,
         expected_ms=job.request.declared_ms,
+        suspicion=suspicion or None,
     )
     batch.orders.append(order)
     _crashes.record_start(node, task.name)
@@ -251,10 +263,14 @@
     """Return a task to the waiting tasks of its job, unless it is given up."""
     if _crashes.is_given_up(node, task.name):
         return give_up(node, task, now)
-    if reason == 'already_there':
-        task.not_before = now + STILL_RUNNING_PAUSE_S
+    if reason in _PAUSE_S:
+        task.not_before = now + _PAUSE_S[reason]
         node.timers.set('pass', task.not_before)
-    task.job.waiting.append(task)
+    if _crashes.suspicion(node, task.name):
+        # The other tasks of the job don't wait for a place for this one.
+        task.job.waiting.insert(0, task)
+    else:
+        task.job.waiting.append(task)
     return []
 
 
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -143,6 +143,8 @@
     sent_at: float
     expected_end_at: float
     stopping: bool = False
+    # Whether the task may have crashed a worker.
+    is_suspect: bool = False
 
 
 @attrs.define(eq=False, repr=False)
--- a/azurepier/runner/_capacity.py
+++ b/azurepier/runner/_capacity.py
@@ -15,6 +15,7 @@
         and node.reachable
         and node.clock_offset_ms is not None
         and now >= node.unhealthy_until
+        and now >= node.alone_until
     )
 
 
--- a/azurepier/runner/_crashes.py
+++ b/azurepier/runner/_crashes.py
@@ -1,25 +1,89 @@
-"""Runs that end with their worker.
+"""Runs that end with their worker, and the tasks that may be the cause.
 
 Load pattern: a task crashes each worker that starts it, with all other runs
 there. The worker's calls fail from the crash on, but its runs count as ended
-only once its lease is over or it has returned. The age of a run at the first
-failed call tells how soon after its start the worker was lost.
+only once its lease is over or it has returned.
+
+The endpoint process sees the runs of all entries. After a crash it takes the
+most recent ones for the possible cause: a task that ran for longer has shown
+that it doesn't crash a worker at its start. Suspect tasks are then started
+one at a time, with no other start shortly before or after, so that the next
+crash leaves no doubt: a suspect task under which the worker crashes then is
+the cause.
+
+It remembers the tasks that were lost here and refuses each of them once to
+every entry that doesn't know. So a count survives the entry that held it.
 """
 
 from azurepier.kernel import effects
 from azurepier.kernel import Status
 from azurepier.runner import _ends
+from azurepier.runner import _state
+
+# Runs that were requested within this time before the most recent one count
+# as most recent, too (s): starts of several entries come in any order, and a
+# crash takes effect some milliseconds after the start that caused it.
+SAME_START_S = 0.02
+# Time after a start in which a crash is put down to it, and time before and
+# after the start of a suspect task without other starts (s).
+ALONE_S = 0.1
+# Maximum number of lost tasks that are remembered.
+REMEMBERED_TASKS_MAX = 1024
+# Reasons of ends and of refusals; entries act on them.
+SUSPECT = 'crash_suspect'
+CAUSE = 'crash_cause'
+# Refusals that tell an entry of the end of a run that it doesn't know.
+_HERE = {SUSPECT: 'crash_suspect_here', CAUSE: 'crash_cause_here'}
+LOST_HERE = 'lost_here'
+SUSPECT_THERE = 'suspect_there'
 
 
-def record_failed_call(node, now):
+def record_failed_call(node, now, refused=False):
     """Record that a call to the worker has failed."""
     if node.failing_since is None:
         node.failing_since = now
+    node.refuses_connections = node.refuses_connections or refused
 
 
 def record_answer(node):
     """Record that the worker has answered a call."""
     node.failing_since = None
+    node.refuses_connections = False
+
+
+def refusal_reason(node, link, order, now):
+    """Return why a task must not be started here, or None."""
+    lost = node.lost_tasks.get(order.task)
+    if lost is not None and link.incarnation not in lost.told:
+        lost.told.add(link.incarnation)
+        return lost.reason
+    if order.suspicion and (
+        now - node.last_started_at < ALONE_S
+        or any(run.order.suspicion for run in node.runs.values())
+    ):
+        return SUSPECT_THERE
+    return None
+
+
+def record_start(node, order, now):
+    """Record a start; that of a suspect task delays further ones."""
+    node.last_started_at = now
+    if order.suspicion:
+        node.alone_until = now + ALONE_S
+        node.timers.set('changed', node.alone_until)
+
+
+def _find_suspects(runs, lost_at):
+    """Return the runs that may have crashed the worker."""
+    candidates = [
+        run for run in runs if 0 <= lost_at - run.requested_at <= ALONE_S
+    ]
+    latest = max((run.requested_at for run in candidates), default=0.0)
+    recent = [
+        run for run in candidates if latest - run.requested_at <= SAME_START_S
+    ]
+    known = [run for run in recent if run.order.suspicion]
+    return known or recent
 
 
 def end_lost_runs(node, reason, now):
@@ -37,11 +101,15 @@
     if not runs:
         return []
     lost_at = now if node.failing_since is None else node.failing_since
+    # A worker that is only silent may be cut off or without power.
+    crashed = node.refuses_connections or reason != 'lease_over'
+    suspects = _find_suspects(runs, lost_at) if crashed else []
     # Negative for a run that was requested after the loss.
     ages = [lost_at - run.requested_at for run in runs]
     fields = {
         'reason': reason,
         'runs': len(runs),
+        'suspects': [run.order.task for run in suspects],
         'silent_ms': round((now - lost_at) * _ends.MS_PER_S),
         'youngest_ms': round(min(ages) * _ends.MS_PER_S),
         'oldest_ms': round(max(ages) * _ends.MS_PER_S),
@@ -49,7 +117,19 @@
     node.count('worker_losses')
     out = [effects.Log('worker_lost', fields)]
     for run, age_s in zip(runs, ages, strict=True):
+        end_reason = reason
+        if run in suspects:
+            end_reason = CAUSE if run.order.suspicion else SUSPECT
+        _remember(node, run, _HERE.get(end_reason, LOST_HERE))
         out += _ends.end_run(
-            node, run, Status.STOPPED, reason, now, lost_age_s=age_s
+            node, run, Status.STOPPED, end_reason, now, lost_age_s=age_s
         )
     return out
+
+
+def _remember(node, run, reason):
+    lost = _state.LostTask(reason, {run.link.incarnation})
+    node.lost_tasks[run.order.task] = lost
+    node.lost_tasks.move_to_end(run.order.task)
+    while len(node.lost_tasks) > REMEMBERED_TASKS_MAX:
+        node.lost_tasks.popitem(last=False)
--- a/azurepier/runner/_lists.py
+++ b/azurepier/runner/_lists.py
@@ -152,7 +152,7 @@
 def on_list_failed(node, event, now):
     """Retry soon, and end the runs whose lease must have expired."""
     is_latest = _requests.complete_request(node, event)
-    _crashes.record_failed_call(node, now)
+    _crashes.record_failed_call(node, now, event.refused)
     if event.old_generation:
         _requests.raise_generation(node)
     out = []
--- a/azurepier/runner/_orders.py
+++ b/azurepier/runner/_orders.py
@@ -71,7 +71,7 @@
         return 'no_room'
     if _trial.must_refuse(node, link, now):
         return 'on_trial'
-    return None
+    return _crashes.refusal_reason(node, link, order, now)
 
 
 def _start(node, link, order, spec, now):
@@ -83,6 +83,7 @@
     _capacity.update_usage(node, order)
     node.timers.set_no_later_than('heartbeat', now + bounds.HEARTBEAT_S)
     _trial.consume_offer(node, link, now)
+    _crashes.record_start(node, order, now)
     node.count('starts')
     out = [_start_effect(node, run, now)]
     return out + _requests.request_list(node, now)
--- a/azurepier/runner/_state.py
+++ b/azurepier/runner/_state.py
@@ -201,6 +201,22 @@
     progress: object = attrs.field(factory=Progress)
 
 
+@attrs.define(eq=False)
+class LostTask:
+    """A task whose run has ended with the worker.
+
+    Attributes
+    ----------
+    reason : str
+        Reason of the refusal that tells an entry of it.
+    told : set of str
+        Incarnations of the entries that know.
+    """
+
+    reason: str
+    told: set = attrs.field(factory=set)
+
+
 @attrs.define(eq=False, repr=False)
 class Endpoint:
     """State of an endpoint process.
@@ -237,6 +253,13 @@
         Highest run number by task, least recently used first.
     failing_since : float or None
         When the first call failed since the worker's last answer (s).
+    refuses_connections : bool
+        Whether a connection to the worker was refused since its last answer.
+    lost_tasks : OrderedDict of str to LostTask
+        Tasks whose runs have ended with the worker, least recent first.
+    last_started_at, alone_until : float
+        When a run was last started, and until when no further one is, since
+        a suspect task is being started (s).
     unhealthy_until : float
         Earliest time of new runs after the worker refused one because it is
         unhealthy (s).
@@ -278,6 +301,12 @@
     used_mem_mb: int = 0
     used_gpu: int = 0
     failing_since: float | None = None
+    refuses_connections: bool = False
+    lost_tasks: collections.OrderedDict = attrs.field(
+        factory=collections.OrderedDict
+    )
+    last_started_at: float = 0.0
+    alone_until: float = 0.0
     unhealthy_until: float = 0.0
     speed_estimate: object = attrs.field(factory=SpeedEstimate)
     trial: object = attrs.field(factory=Trial)
--- a/azurepier/testing/_worker.py
+++ b/azurepier/testing/_worker.py
@@ -147,7 +147,7 @@
         self.pending_requests.clear()
 
     def _fail_list(self, process, number):
-        event = runner.ListFailed('connection refused', number)
+        event = runner.ListFailed('refused', number, refused=True)
         self.driver.after(0.0005, self.driver.feed, process, event)
 
     def _crash_by(self, run):
--- a/azurepier/wire/_codec.py
+++ b/azurepier/wire/_codec.py
@@ -66,6 +66,7 @@
         'nonce',
         'proof',
     },
+    ttypes.RunOrder: {'suspicion'},
     ttypes.Beat: {'evacuations_revision', 'evacuated', 'store_silent_ms'},
 }
 
--- a/azurepier/wire/gen/messages/ttypes.py
+++ b/azurepier/wire/gen/messages/ttypes.py
@@ -3031,6 +3031,7 @@
      - mem_mb
      - gpu
      - expected_ms
+     - suspicion
 
     """
 
@@ -3043,10 +3044,11 @@
         'mem_mb',
         'gpu',
         'expected_ms',
+        'suspicion',
     )
 
 
-    def __init__(self, seq=None, task=None, attempt=None, spec=None, cpu=None, mem_mb=None, gpu=None, expected_ms=None,):
+    def __init__(self, seq=None, task=None, attempt=None, spec=None, cpu=None, mem_mb=None, gpu=None, expected_ms=None, suspicion=None,):
         self.seq = seq
         self.task = task
         self.attempt = attempt
@@ -3055,6 +3057,7 @@
         self.mem_mb = mem_mb
         self.gpu = gpu
         self.expected_ms = expected_ms
+        self.suspicion = suspicion
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3105,6 +3108,11 @@
                     self.expected_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.suspicion = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3147,6 +3155,10 @@
             oprot.writeFieldBegin('expected_ms', TType.I32, 8)
             oprot.writeI32(self.expected_ms)
             oprot.writeFieldEnd()
+        if self.suspicion is not None:
+            oprot.writeFieldBegin('suspicion', TType.I32, 9)
+            oprot.writeI32(self.suspicion)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4379,6 +4391,7 @@
     (6, TType.I32, 'mem_mb', None, None, ),  # 6
     (7, TType.I32, 'gpu', None, None, ),  # 7
     (8, TType.I32, 'expected_ms', None, None, ),  # 8
+    (9, TType.I32, 'suspicion', None, None, ),  # 9
 )
 all_structs.append(RunOrders)
 RunOrders.thrift_spec = (
--- a/thrift/azurepier.thrift
+++ b/thrift/azurepier.thrift
@@ -226,6 +226,7 @@
   6: i32 mem_mb
   7: i32 gpu
   8: i32 expected_ms        // declared run time
+  9: i32 suspicion          // workers that the task may have crashed, if any
 }
 
 struct RunOrders {
