Show that each mechanism against deadly tasks is needed

Each of six is turned off in turn: the limit of starts after losses, giving up the cause, suspecting recent starts only, starting suspects alone, telling a crash from silence, and remembering lost tasks at the endpoint process. The test named beside it then fails. task_cleared logs that a task which had lost workers is done.

--- a/azurepier/dispatch/_crashes.py
+++ b/azurepier/dispatch/_crashes.py
@@ -134,8 +134,7 @@
         Effects that log a change.
     """
     if status is Status.DONE:
-        node.crash_records.pop(run.name, None)
-        return []
+        return _clear(node, endpoint, run.name)
     if status in _NOT_STARTED_STATUSES:
         record = node.crash_records.get(run.name)
         if record is not None and record.starts_left is not None:
@@ -165,6 +164,20 @@
     return [effects.Log('task_lost_worker', fields)]
 
 
+def _clear(node, endpoint, name):
+    record = node.crash_records.pop(name, None)
+    if record is None:
+        return []
+    node.count('tasks_cleared')
+    fields = {
+        'task': name,
+        'endpoint': endpoint.name,
+        'losses': len(record.workers),
+        'suspicions': record.suspicions,
+    }
+    return [effects.Log('task_cleared', fields)]
+
+
 def _remember(node, name):
     record = node.crash_records.setdefault(name, Record())
     node.crash_records.move_to_end(name)
--- a/azurepier/dispatch/tests/test_crashes.py
+++ b/azurepier/dispatch/tests/test_crashes.py
@@ -58,6 +58,18 @@
         assert crash_count(fleet) <= 5
         assert sum(fleet.ledger.excess_starts.values()) <= 2
 
+    def test_cause_is_given_up_after_two_crashes(self):
+        """Guards against further crashes by a task that was found out."""
+        fleet = testing.make_pool(speeds=SPEEDS)
+        call = fleet.submit(0.1, count=4, deadly=(0,))
+        fleet.run_for(SETTLE_S)
+        assert failed(call)
+        assert crash_count(fleet) == 2
+        fields = events_of(fleet, 'task_given_up')[0]
+        assert fields['task'] == testing.task_names(call.job)[0]
+        assert fields['is_cause']
+        assert len(set(fields['endpoints'])) == 2
+
     def test_slow_to_crash(self):
         """The bound must hold for tasks that crash long after their start."""
         fleet = testing.make_pool(speeds=SPEEDS)
@@ -93,6 +105,21 @@
         assert failed(call)
         assert sum(fleet.ledger.excess_starts.values()) <= 2
 
+    def test_entry_is_killed(self):
+        """Guards against a count that ends with the entry that holds it."""
+        fleet = testing.make_pool(speeds=(1.0,))
+        call = fleet.submit(0.1, deadly=(0,), entry='e0', queue=PATIENT)
+        fleet.run_for(0.1)
+        fleet.kill_entry('e0')
+        fleet.run_for(SETTLE_S)
+        assert failed(call)
+        assert call.submissions == 2
+        assert crash_count(fleet) == 2
+        reasons = [
+            fields['reason'] for fields in events_of(fleet, 'task_lost_worker')
+        ]
+        assert reasons == ['crash_suspect_here', 'crash_cause']
+
 
 class TestInnocentTasks:
     def test_neighbour_of_a_deadly_task(self):
@@ -107,6 +134,16 @@
         assert all(map(failed, deadly))
         assert all(map(succeeded, neighbours))
 
+    def test_started_together_with_a_deadly_task(self):
+        """Guards against suspects of two entries that meet again."""
+        # The second worker is too small; it keeps the pool open.
+        fleet = testing.make_pool(speeds=(1.0, 1.0), cpu=(8000, 500))
+        deadly = fleet.submit(0.1, deadly=(0,), entry='e0', queue=PATIENT)
+        innocent = fleet.submit(0.1, count=3, entry='e1', queue=PATIENT)
+        fleet.run_for(SETTLE_S)
+        assert failed(deadly)
+        assert succeeded(innocent)
+
     @pytest.mark.parametrize('seed', [1, 2, 3])
     def test_background_survives(self, seed):
         """Guards against a count that blames whatever was on a worker."""
@@ -138,3 +175,21 @@
             fleet.run_for(1.5)
         fleet.run_for(SETTLE_S)
         assert all(map(succeeded, calls))
+
+    def test_worker_that_falls_silent(self):
+        """Guards against blaming a task for a worker that is cut off."""
+        fleet = testing.make_pool(speeds=(1.0,))
+        # The declared time is short so that the silence shows at once.
+        call = fleet.submit(1.0, declared_ms=50, queue=PATIENT)
+        worker = fleet.workers['w0']
+        for _ in range(3):
+            while not worker.runs:
+                fleet.run_for(0.001)
+            worker.unresponsive = True
+            fleet.run_for(1.5)
+            worker.unresponsive = False
+        fleet.run_for(SETTLE_S)
+        assert succeeded(call)
+        losses = events_of(fleet, 'task_lost_worker')
+        assert [each['reason'] for each in losses] == ['lease_over'] * 3
+        assert len(events_of(fleet, 'task_cleared')) == 1
--- a/azurepier/dispatch/tests/test_mechanisms.py
+++ b/azurepier/dispatch/tests/test_mechanisms.py
@@ -6,18 +6,21 @@
 import pytest
 
 from azurepier.dispatch import _bounds
+from azurepier.dispatch import _crashes
 from azurepier.dispatch import _drain
 from azurepier.dispatch import _evacuation
 from azurepier.dispatch import _node
 from azurepier.dispatch import _pass
 from azurepier.dispatch import _placement
 from azurepier.dispatch import _progress
+from azurepier.dispatch.tests import test_crashes as crashes
 from azurepier.dispatch.tests import test_evacuation as evacuation
 from azurepier.dispatch.tests import test_faults as faults
 from azurepier.kernel import messages
 from azurepier.kernel import Status
 from azurepier import membership
 from azurepier.runner import _capacity
+from azurepier.runner import _crashes as runner_crashes
 from azurepier.runner import _ends
 from azurepier.runner import _evacuation as runner_evacuation
 from azurepier.runner import _lists
@@ -135,6 +138,36 @@
     patch.setitem(_orders._ON_RESULT, no_room, refuse)
 
 
+def _allow_starts_after_losses(patch):
+    patch.setattr(_crashes, 'STARTS_AFTER_LOSSES', 10**9)
+
+
+def _ignore_causes(patch):
+    patch.setattr(_crashes, '_CAUSE_REASONS', frozenset())
+
+
+def _suspect_all_lost_runs(patch):
+    patch.setattr(runner_crashes, '_find_suspects', lambda runs, lost_at: runs)
+
+
+def _start_suspects_beside_others(patch):
+    patch.setattr(runner_crashes, 'refusal_reason', lambda *args: None)
+    patch.setattr(runner_crashes, 'record_start', _no_effects)
+
+
+def _take_silence_for_crash(patch):
+    record = runner_crashes.record_failed_call
+    patch.setattr(
+        runner_crashes,
+        'record_failed_call',
+        lambda node, now, refused=False: record(node, now, True),
+    )
+
+
+def _forget_lost_tasks(patch):
+    patch.setattr(runner_crashes, '_remember', _no_effects)
+
+
 # By mechanism: the function that disables it, and a test that then fails.
 MECHANISMS = {
     'runs of a disconnected entry are stopped': (
@@ -225,6 +258,30 @@
         _count_evacuated_supply,
         evacuation.TestPlacement().test_supply_shrinks_at_once,
     ),
+    'starts after lost workers are limited': (
+        _allow_starts_after_losses,
+        crashes.TestBound().test_slow_to_crash,
+    ),
+    'the cause of a crash is given up': (
+        _ignore_causes,
+        crashes.TestBound().test_cause_is_given_up_after_two_crashes,
+    ),
+    'only recent starts are suspect': (
+        _suspect_all_lost_runs,
+        crashes.TestInnocentTasks().test_workers_that_crash_by_themselves,
+    ),
+    'suspect tasks are started alone': (
+        _start_suspects_beside_others,
+        crashes.TestInnocentTasks().test_started_together_with_a_deadly_task,
+    ),
+    'a silent worker names no suspects': (
+        _take_silence_for_crash,
+        crashes.TestInnocentTasks().test_worker_that_falls_silent,
+    ),
+    'endpoint processes remember lost tasks': (
+        _forget_lost_tasks,
+        crashes.TestBound().test_entry_is_killed,
+    ),
     'jobs that wait for an evacuated pool are rejected': (
         _wait_for_evacuated_pool,
         evacuation.TestAllDomains().test_waiting_jobs_are_rejected_at_once,
