Keep tasks that lost workers apart from suspects

With 30 % deadly jobs, innocent tasks of 0.8 s were given up after five losses: suspects were started beside them as soon as 0.1 s had passed. A task that has lost two workers is now kept apart from suspects for its whole run even if it isn't one, and one with two starts left has a worker to itself. Suspects are chosen from the endpoints that the task may use (label, tasks a worker).

--- a/azurepier/dispatch/_bounds.py
+++ b/azurepier/dispatch/_bounds.py
@@ -34,6 +34,13 @@
 # Interval of the heartbeat timer of a process without runs (s). The timer also
 # serves to detect pauses of the process.
 IDLE_TICK_S = 0.25
+# Time after a start in which a crash of the worker is put down to it, and time
+# before and after the start of a suspect task without other starts (s). In the
+# known cases the crash follows within 12 ms.
+SUSPECT_ALONE_S = 0.1
+# Number of lost workers after which the starts of a task are limited. It then
+# runs alone: nothing else is started beside it.
+LOSSES_MAX = 3
 
 
 def is_due(elapsed_s, interval_s):
--- a/azurepier/dispatch/_crashes.py
+++ b/azurepier/dispatch/_crashes.py
@@ -8,7 +8,9 @@
 These are started apart from each other, on the workers with the least to
 lose, and at most half of the pool's workers are used for them at a time. A
 task under which a worker crashes while it is started alone is the cause, and
-is given up; one that only shared its workers is not.
+is given up; one that only shared its workers is not. A task that has lost
+three workers without being found the cause has two starts left, for which it
+has a worker to itself.
 
 The count is kept by the task's name, beyond the job: a caller that leaves and
 submits its job again finds it.
@@ -16,14 +18,16 @@
 
 import attrs
 
+from azurepier.dispatch import _bounds
 from azurepier.dispatch import _placement
 from azurepier.kernel import effects
 from azurepier.kernel import Status
 
-# Number of lost workers after which the starts of a task are limited, and
-# number of starts that it has left then.
-LOSSES_MAX = 3
+# Number of starts that a task has left after `LOSSES_MAX` lost workers.
 STARTS_AFTER_LOSSES = 2
+# Number of lost workers from which a task is kept apart from suspect ones even
+# if it isn't suspect itself, so that they don't use up its starts.
+KEPT_APART_LOSSES = 2
 # Share of the open endpoints that may have suspect tasks at a time.
 SUSPECT_ENDPOINTS_SHARE = 0.5
 # Relative random change of an endpoint's use, so that entries choose different
@@ -75,9 +79,23 @@
 
 
 def suspicion(node, name):
-    """Return the number of crashes of which a task may be the cause."""
+    """Return how carefully a task has to be started.
+
+    Returns
+    -------
+    int
+        0 as any other task, 1 or more apart from others like it, `LOSSES_MAX`
+        alone for its whole run.
+    """
     record = node.crash_records.get(name)
-    return 0 if record is None else record.suspicions
+    if record is None:
+        return 0
+    if record.starts_left is not None:
+        return _bounds.LOSSES_MAX
+    losses = len(record.workers)
+    if record.suspicions or losses >= KEPT_APART_LOSSES:
+        return min(losses, _bounds.LOSSES_MAX - 1)
+    return 0
 
 
 def choose_apart(node, open_endpoints, job):
@@ -105,9 +123,8 @@
         return []
     candidates = [
         endpoint
-        for endpoint in open_endpoints
+        for endpoint in _placement.find_candidates(open_endpoints, job)
         if endpoint not in used
-        and _placement.fits(endpoint, job.request.resources)
     ]
 
     def use(endpoint):
@@ -149,7 +166,7 @@
         record.suspicions += 1
     if reason in _CAUSE_REASONS:
         record.is_cause = True
-    if len(record.workers) == LOSSES_MAX:
+    if len(record.workers) == _bounds.LOSSES_MAX:
         record.starts_left = STARTS_AFTER_LOSSES
     node.count('runs_lost_with_worker')
     fields = {
--- a/azurepier/dispatch/_placement.py
+++ b/azurepier/dispatch/_placement.py
@@ -68,6 +68,21 @@
     )
 
 
+def find_candidates(endpoints, job):
+    """Return the endpoints on which the next task of a job may start now."""
+    resources = job.request.resources
+    limit = job.request.max_per_worker
+    avoided = job.waiting[-1].avoided_endpoints
+    return [
+        endpoint
+        for endpoint in endpoints
+        if fits(endpoint, resources)
+        and endpoint.name not in avoided
+        and (not resources.label or resources.label in endpoint.labels)
+        and (not limit or endpoint.runs_per_job[job.request.id] < limit)
+    ]
+
+
 def choose(endpoints, job, now, rng, allow_late=False):
     """Return the endpoint for the next task of a job, or None.
 
@@ -81,17 +96,7 @@
     allow_late : bool
         Whether the task may end late instead of waiting for a faster endpoint.
     """
-    resources = job.request.resources
-    limit = job.request.max_per_worker
-    avoided = job.waiting[-1].avoided_endpoints
-    candidates = [
-        endpoint
-        for endpoint in endpoints
-        if fits(endpoint, resources)
-        and endpoint.name not in avoided
-        and (not resources.label or resources.label in endpoint.labels)
-        and (not limit or endpoint.runs_per_job[job.request.id] < limit)
-    ]
+    candidates = find_candidates(endpoints, job)
     if not candidates:
         return None
     time_left_s = job.objective_at - now - MESSAGE_DELAY_S
--- a/azurepier/dispatch/tests/test_mechanisms.py
+++ b/azurepier/dispatch/tests/test_mechanisms.py
@@ -26,6 +26,7 @@
 from azurepier.runner import _lists
 from azurepier.runner import _node as runner_node
 from azurepier.runner import _orders
+from azurepier.runner import _suspects
 from azurepier.runner import _trial
 
 PropagationTests = evacuation.TestPropagation
@@ -151,8 +152,8 @@
 
 
 def _start_suspects_beside_others(patch):
-    patch.setattr(runner_crashes, 'refusal_reason', lambda *args: None)
-    patch.setattr(runner_crashes, 'record_start', _no_effects)
+    patch.setattr(_suspects, 'refusal_reason', lambda *args: None)
+    patch.setattr(_suspects, 'record_start', _no_effects)
 
 
 def _take_silence_for_crash(patch):
--- a/azurepier/runner/_capacity.py
+++ b/azurepier/runner/_capacity.py
@@ -2,6 +2,7 @@
 
 from azurepier.kernel import messages
 from azurepier.runner import _evacuation
+from azurepier.runner import _suspects
 from azurepier.runner import _trial
 
 
@@ -15,7 +16,7 @@
         and node.reachable
         and node.clock_offset_ms is not None
         and now >= node.unhealthy_until
-        and now >= node.alone_until
+        and _suspects.accepts(node, now)
     )
 
 
--- a/azurepier/runner/_crashes.py
+++ b/azurepier/runner/_crashes.py
@@ -7,14 +7,11 @@
 The endpoint process sees the runs of all entries. After a crash it takes the
 most recent ones for the possible cause: a task that ran for longer has shown
 that it doesn't crash a worker at its start. Suspect tasks are then started
-one at a time, with no other start shortly before or after, so that the next
-crash leaves no doubt: a suspect task under which the worker crashes then is
-the cause.
-
-It remembers the tasks that were lost here and refuses each of them once to
-every entry that doesn't know. So a count survives the entry that held it.
+one at a time (`_suspects`), so that the next crash leaves no doubt: a suspect
+task under which the worker crashes then is the cause.
 """
 
+from azurepier.dispatch import bounds
 from azurepier.kernel import effects
 from azurepier.kernel import Status
 from azurepier.runner import _ends
@@ -24,9 +21,6 @@
 # as most recent, too (s): starts of several entries come in any order, and a
 # crash takes effect some milliseconds after the start that caused it.
 SAME_START_S = 0.02
-# Time after a start in which a crash is put down to it, and time before and
-# after the start of a suspect task without other starts (s).
-ALONE_S = 0.1
 # Maximum number of lost tasks that are remembered.
 REMEMBERED_TASKS_MAX = 1024
 # Reasons of ends and of refusals; entries act on them.
@@ -35,7 +29,6 @@
 # Refusals that tell an entry of the end of a run that it doesn't know.
 _HERE = {SUSPECT: 'crash_suspect_here', CAUSE: 'crash_cause_here'}
 LOST_HERE = 'lost_here'
-SUSPECT_THERE = 'suspect_there'
 
 
 def record_failed_call(node, now, refused=False):
@@ -51,32 +44,12 @@
     node.refuses_connections = False
 
 
-def refusal_reason(node, link, order, now):
-    """Return why a task must not be started here, or None."""
-    lost = node.lost_tasks.get(order.task)
-    if lost is not None and link.incarnation not in lost.told:
-        lost.told.add(link.incarnation)
-        return lost.reason
-    if order.suspicion and (
-        now - node.last_started_at < ALONE_S
-        or any(run.order.suspicion for run in node.runs.values())
-    ):
-        return SUSPECT_THERE
-    return None
-
-
-def record_start(node, order, now):
-    """Record a start; that of a suspect task delays further ones."""
-    node.last_started_at = now
-    if order.suspicion:
-        node.alone_until = now + ALONE_S
-        node.timers.set('changed', node.alone_until)
-
-
 def _find_suspects(runs, lost_at):
     """Return the runs that may have crashed the worker."""
     candidates = [
-        run for run in runs if 0 <= lost_at - run.requested_at <= ALONE_S
+        run
+        for run in runs
+        if 0 <= lost_at - run.requested_at <= bounds.SUSPECT_ALONE_S
     ]
     latest = max((run.requested_at for run in candidates), default=0.0)
     recent = [
--- a/azurepier/runner/_orders.py
+++ b/azurepier/runner/_orders.py
@@ -21,6 +21,7 @@
 from azurepier.runner import _model
 from azurepier.runner import _requests
 from azurepier.runner import _state
+from azurepier.runner import _suspects
 from azurepier.runner import _trial
 
 # Maximum number of retries of a start with a higher run number, if the worker
@@ -71,7 +72,7 @@
         return 'no_room'
     if _trial.must_refuse(node, link, now):
         return 'on_trial'
-    return _crashes.refusal_reason(node, link, order, now)
+    return _suspects.refusal_reason(node, link, order, now)
 
 
 def _start(node, link, order, spec, now):
@@ -83,7 +84,7 @@
     _capacity.update_usage(node, order)
     node.timers.set_no_later_than('heartbeat', now + bounds.HEARTBEAT_S)
     _trial.consume_offer(node, link, now)
-    _crashes.record_start(node, order, now)
+    _suspects.record_start(node, order, now)
     node.count('starts')
     out = [_start_effect(node, run, now)]
     return out + _requests.request_list(node, now)
