--- a/azurepier/runner/_capacity.py
+++ b/azurepier/runner/_capacity.py
@@ -16,7 +16,6 @@
         and node.reachable
         and node.clock_offset_ms is not None
         and now >= node.unhealthy_until
-        and _suspects.accepts(node, now)
     )
 
 
@@ -59,7 +58,10 @@
     cpu, mem_mb, gpu = (
         (worker.cpu, worker.mem_mb, worker.gpu) if worker else (0, 0, 0)
     )
-    offered = not _trial.must_refuse(node, link, now)
+    # A worker that is kept free for a suspect task still counts as supply.
+    offered = _suspects.has_room_for_others(
+        node, now
+    ) and not _trial.must_refuse(node, link, now)
     others_demand = sum(
         other.demand for other in node.by_conn.values() if other is not link
     )
--- a/azurepier/runner/_suspects.py
+++ b/azurepier/runner/_suspects.py
@@ -21,6 +21,8 @@
     if lost is not None and link.incarnation not in lost.told:
         lost.told.add(link.incarnation)
         return lost.reason
+    if not has_room_for_others(node, now):
+        return SUSPECT_THERE
     last_start_age_s = now - node.last_started_at
     if order.suspicion and (
         last_start_age_s < bounds.SUSPECT_ALONE_S
@@ -38,7 +40,7 @@
         node.timers.set('changed', node.alone_until)
 
 
-def accepts(node, now):
+def has_room_for_others(node, now):
     """Return whether no task has to be alone on the worker now."""
     return now >= node.alone_until and not any(
         run.order.suspicion and run.order.suspicion >= bounds.LOSSES_MAX
