--- a/azurepier/dispatch/_runs.py
+++ b/azurepier/dispatch/_runs.py
@@ -3,6 +3,7 @@
 import attrs
 
 from azurepier.dispatch import _bounds
+from azurepier.dispatch import _crashes
 from azurepier.dispatch import _model
 from azurepier.dispatch import _state
 from azurepier.kernel import effects
@@ -13,6 +14,13 @@
 # Pause before a task is retried after an endpoint refused it because an
 # earlier run of the task still exists there (s).
 STILL_RUNNING_PAUSE_S = 0.1
+# Pause before a suspect task is ordered again after an endpoint process
+# refused it because of other starts there (s).
+SUSPECT_PAUSE_S = 0.03
+_PAUSE_S = {
+    'already_there': STILL_RUNNING_PAUSE_S,
+    'suspect_there': SUSPECT_PAUSE_S,
+}
 # Number of distinct endpoints on which a task has to fail before its job
 # fails; fewer if the pool has fewer.
 MIN_FAILED_ENDPOINTS = 2
@@ -27,7 +35,9 @@
 # Refusals that are usual when several entries compete for the same capacity.
 # They are counted in the log line of the job's end, since a line for each
 # would make up most of the log.
-_COMMON_REFUSALS = frozenset({'no_room', 'on_trial', 'evacuated'})
+_COMMON_REFUSALS = frozenset(
+    {'no_room', 'on_trial', 'evacuated', 'suspect_there'}
+)
 _NOT_RUN_STATUSES = frozenset({Status.REFUSED, Status.LEAVING})
 
 
@@ -55,6 +65,8 @@
     resources = job.request.resources
     run = _state.Run(seq, task, task.name, resources, now, expected_end_at)
     task.run = run
+    suspicion = _crashes.suspicion(node, task.name)
+    run.is_suspect = suspicion > 0
     if not endpoint.runs:
         endpoint.busy_since = now
     endpoint.runs[seq] = run
@@ -81,8 +93,10 @@
         mem_mb=resources.mem_mb,
         gpu=resources.gpu,
         expected_ms=job.request.declared_ms,
+        suspicion=suspicion or None,
     )
     batch.orders.append(order)
+    _crashes.record_start(node, task.name)
     node.count('starts')
 
 
@@ -224,6 +238,7 @@
         }
         out.append(effects.Log('run_not_done', fields))
         node.count(f'runs_{status.name.lower()}')
+    out += _crashes.record_end(node, endpoint, run, status, reason, now)
     if task is None:
         return out
     job = node.current_job = task.job
@@ -269,12 +284,24 @@
 
 
 def _requeue(node, endpoint, task, reason, now):
-    """Return a task to the waiting tasks of its job."""
-    if reason == 'already_there':
-        task.not_before = now + STILL_RUNNING_PAUSE_S
-        node.timers.set('pass', task.not_before)
-    task.job.waiting.append(task)
+    """Return a task to the waiting tasks of its job, unless it is given up."""
+    if _crashes.is_given_up(node, task.name):
+        return give_up(node, task, now)
+    if reason in _PAUSE_S:
+        task.not_before = now + _PAUSE_S[reason]
+        node.timers.set(('retry', task.name), task.not_before)
+    if _crashes.suspicion(node, task.name):
+        # The other tasks of the job don't wait for a place for this one.
+        task.job.waiting.insert(0, task)
+    else:
+        task.job.waiting.append(task)
     return []
 
 
+def give_up(node, task, now):
+    """Answer the callers of a job that one of its tasks has failed."""
+    event = _crashes.give_up_event(node, task)
+    return [event, *finish_job(node, task.job, _model.Finished(False), now)]
+
+
 _ON_STATUS = {Status.DONE: _on_done, Status.FAILED: _on_failed}
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -145,6 +145,8 @@
     sent_at: float
     expected_end_at: float
     stopping: bool = False
+    # Whether the task may have crashed a worker.
+    is_suspect: bool = False
 
 
 @attrs.define(eq=False, repr=False)
@@ -263,6 +265,9 @@
         Connected entries, by connection.
     run_count_by_task : collections.Counter
         Number of runs by task name; includes runs of ended jobs.
+    crash_records : OrderedDict of str to Record
+        What is known of tasks whose runs have ended with their worker, by
+        task name, least recent first.
     last_event_at : float
         Time of the last event (s).
     dirty : bool
@@ -300,6 +305,9 @@
         factory=collections.Counter
     )
     next_seq: int = 1
+    crash_records: collections.OrderedDict = attrs.field(
+        factory=collections.OrderedDict
+    )
     routing: object = None
     # Evacuated failure domains, None before the first update of them, and the
     # time of the latest answer of the store (s).
--- a/azurepier/runner/_capacity.py
+++ b/azurepier/runner/_capacity.py
@@ -2,6 +2,7 @@
 
 from azurepier.kernel import messages
 from azurepier.runner import _evacuation
+from azurepier.runner import _suspects
 from azurepier.runner import _trial
 
 
@@ -57,7 +58,10 @@
     cpu, mem_mb, gpu = (
         (worker.cpu, worker.mem_mb, worker.gpu) if worker else (0, 0, 0)
     )
-    offered = not _trial.must_refuse(node, link, now)
+    # A worker that is kept free for a suspect task still counts as supply.
+    offered = _suspects.has_room_for_others(
+        node, now
+    ) and not _trial.must_refuse(node, link, now)
     others_demand = sum(
         other.demand for other in node.by_conn.values() if other is not link
     )
--- a/azurepier/runner/_orders.py
+++ b/azurepier/runner/_orders.py
@@ -15,11 +15,13 @@
 from azurepier.kernel import effects
 from azurepier.kernel import Status
 from azurepier.runner import _capacity
+from azurepier.runner import _crashes
 from azurepier.runner import _ends
 from azurepier.runner import _evacuation
 from azurepier.runner import _model
 from azurepier.runner import _requests
 from azurepier.runner import _state
+from azurepier.runner import _suspects
 from azurepier.runner import _trial
 
 # Maximum number of retries of a start with a higher run number, if the worker
@@ -36,6 +38,9 @@
 REMEMBERED_NUMBERS_MAX = 4096
 # Time without new runs after a worker answered that it is unhealthy (s).
 UNHEALTHY_PAUSE_S = 0.5
+_FAILED_CALLS = frozenset(
+    {_model.StartResult.NOT_SENT, _model.StartResult.NO_ANSWER}
+)
 
 
 def on_orders(node, link, msg, now):
@@ -67,7 +72,7 @@
         return 'no_room'
     if _trial.must_refuse(node, link, now):
         return 'on_trial'
-    return None
+    return _suspects.refusal_reason(node, link, order, now)
 
 
 def _start(node, link, order, spec, now):
@@ -79,6 +84,7 @@
     _capacity.update_usage(node, order)
     node.timers.set_no_later_than('heartbeat', now + bounds.HEARTBEAT_S)
     _trial.consume_offer(node, link, now)
+    _suspects.record_start(node, order, now)
     node.count('starts')
     out = [_start_effect(node, run, now)]
     return out + _requests.request_list(node, now)
@@ -106,6 +112,10 @@
 
 def on_start_answered(node, event, now):
     """Process the worker's answer to a start."""
+    if event.result is _model.StartResult.STARTED:
+        _crashes.record_answer(node)
+    if event.result in _FAILED_CALLS:
+        _crashes.record_failed_call(node, now)
     run = node.runs.get(event.task)
     if run is None or run.number != event.number:
         return []
--- a/azurepier/wire/_codec.py
+++ b/azurepier/wire/_codec.py
@@ -66,6 +66,7 @@
         'nonce',
         'proof',
     },
+    ttypes.RunOrder: {'suspicion'},
     ttypes.RunsKnown: {'session'},
     ttypes.Beat: {
         'evacuations_revision',
--- a/azurepier/wire/tests/test_codec.py
+++ b/azurepier/wire/tests/test_codec.py
@@ -100,6 +100,11 @@
     )
 ]
 
+# Messages with an item that has optional fields and is no message itself.
+MESSAGE_OF_ITEM = {
+    ttypes.RunOrder: lambda order: ttypes.RunOrders([order], ['spec']),
+}
+
 
 class TestLaterBuild:
     """Guards against an old build that can't read a new one's messages."""
@@ -129,9 +134,11 @@
     @pytest.mark.parametrize('cls', list(_codec._OPTIONAL_FIELDS))
     def test_optional_fields_of_an_earlier_build(self, cls):
         """A message without a field that was added later is complete."""
-        msg = example(cls)
+        struct = example(cls)
         for name in _codec._OPTIONAL_FIELDS[cls]:
-            setattr(msg, name, None)
+            setattr(struct, name, None)
+        make_message = MESSAGE_OF_ITEM.get(cls, lambda msg: msg)
+        msg = make_message(struct)
         assert _codec.decode(_codec.encode(msg)) == msg
 
 
