Keep runs that a returned worker lists

A task could run on two workers at the same time, for as long as a stop takes.

Cause: a worker that is away for less than 0.4 s can take a start before its endpoint process knows that it has returned. The first list of the new incarnation then ended all runs, also one that this very list shows as running; its entry started the task elsewhere while the run was being stopped.

Runs that the list of the new incarnation shows with their number are kept now.

If the report of the new incarnation arrives before its list, all runs are still ended; that case remains.

--- a/azurepier/dispatch/tests/test_returned_worker.py
+++ b/azurepier/dispatch/tests/test_returned_worker.py
@@ -152,3 +152,28 @@
         fleet.run_for(6.0)
         assert fleet.ledger.overlaps == []
         assert call.body == dispatch.Finished(True)
+
+
+class TestStartOnReturn:
+    def test_run_of_the_new_incarnation_is_not_started_elsewhere(self):
+        """Guards against a second run if a start comes before the list.
+
+        The worker takes the start while the endpoint process doesn't know yet
+        that it has returned.
+        """
+        fleet, _, _ = make_fleet(speeds=(1.0, 1.0))
+        # Workers need up to 50 ms for a stop.
+        fleet.driver.effect_handlers[runner.StopRun] = (
+            lambda driver, process, effect: driver.after(
+                0.03, process.worker.stop, process, effect
+            )
+        )
+        fleet.submit(0.6, count=8, entry='e0')
+        fleet.run_for(0.4)
+        worker = fleet.workers['w0']
+        worker.crash()
+        worker.clock_offset_ms = -1000 * fleet.driver.now
+        call = fleet.submit(1.0, count=4, entry='e0')
+        fleet.run_for(8.0)
+        assert fleet.ledger.overlaps == []
+        assert call.body == dispatch.Finished(True)
--- a/azurepier/runner/_crashes.py
+++ b/azurepier/runner/_crashes.py
@@ -59,8 +59,8 @@
     return known or recent
 
 
-def end_lost_runs(node, reason, now):
-    """End all runs, because the worker has lost or stopped them.
+def end_lost_runs(node, reason, now, kept_runs=frozenset()):
+    """End the runs that the worker has lost or stopped.
 
     Parameters
     ----------
@@ -68,9 +68,15 @@
     reason : str
         `lease_over`, `worker_restarted` or `other_worker`.
     now : float
+    kept_runs : set of (str, int)
+        Task and number of the runs that the worker has not lost.
     """
     node.orphaned_runs.clear()
-    runs = list(node.runs.values())
+    runs = [
+        run
+        for run in node.runs.values()
+        if (run.order.task, run.number) not in kept_runs
+    ]
     if not runs:
         return []
     lost_at = now if node.failing_since is None else node.failing_since
--- a/azurepier/runner/_lists.py
+++ b/azurepier/runner/_lists.py
@@ -39,7 +39,9 @@
         # The answer to a later request has arrived already.
         return []
     node.last_list_requested_at = event.requested_at
-    out = _check_incarnation(node, event.born, now)
+    rows = (*event.running, *event.ended)
+    listed_runs = {(row.task, row.number) for row in rows}
+    out = _check_incarnation(node, event.born, listed_runs, now)
     _crashes.record_answer(node)
     is_first_list = node.clock_offset_ms is None
     node.clock_offset_ms = event.clock_ms - now * _ends.MS_PER_S
@@ -169,7 +171,11 @@
     return out
 
 
-def _check_incarnation(node, born, now):
+def _check_incarnation(node, born, listed_runs, now):
+    """Recognise a new incarnation, and end the runs that it doesn't list.
+
+    It may have taken a start before this process knew of it.
+    """
     if node.born is None or born == node.born:
         node.born = born
         return []
@@ -183,9 +189,11 @@
         node.worker = None
         node.changed = True
     out = [effects.Log('worker_restarted', {'born': born})]
-    return out + _crashes.end_lost_runs(node, 'worker_restarted', now)
+    return out + _crashes.end_lost_runs(
+        node, 'worker_restarted', now, listed_runs
+    )
 
 
 def on_new_incarnation(node, born, now):
     """End the runs of an earlier incarnation of the worker."""
-    return _check_incarnation(node, born, now)
+    return _check_incarnation(node, born, frozenset(), now)
