Don't count a lost connection as a lost worker

A caller could be told that its job failed because a task crashes workers, though only the connections of its entry had been cut.

Cause: a run whose endpoint process doesn't return to the entry within 1.2 s (endpoint_gone) counted as lost with its worker, and five of these end the job. A process that is only cut off says nothing of its worker.

Evidence: the new test fails before: a job whose endpoint processes are cut off six times, one after the other, is given up. Such ends no longer count; what the endpoint process itself reports still does, so that the limit on starts holds for crashes that were seen.

--- a/azurepier/dispatch/_crashes.py
+++ b/azurepier/dispatch/_crashes.py
@@ -36,7 +36,8 @@
 # Maximum number of tasks whose lost workers are remembered.
 REMEMBERED_TASKS_MAX = 4096
 
-# Reasons of ends that mean that the worker has ended, or may have.
+# Reasons of ends that mean that the worker has ended. An endpoint process that
+# doesn't return to this entry may only be cut off from it.
 _LOSS_REASONS = frozenset(
     {
         'crash_suspect',
@@ -44,7 +45,6 @@
         'lease_over',
         'worker_restarted',
         'other_worker',
-        'endpoint_gone',
     }
 )
 # Refusals by which an endpoint process tells of a loss that another entry saw.
--- a/azurepier/dispatch/tests/test_crashes.py
+++ b/azurepier/dispatch/tests/test_crashes.py
@@ -195,6 +195,23 @@
         fleet.run_for(SETTLE_S)
         assert all(map(succeeded, calls))
 
+    def test_endpoint_processes_that_are_cut_off(self):
+        """Guards against blaming a task for lost connections of its entry."""
+        fleet = testing.make_pool(entries=1, speeds=(1.0, 1.0))
+        entry = fleet.entries['e0']
+        call = fleet.submit(2.5, entry='e0', queue=PATIENT)
+        for _ in range(6):
+            fleet.run_for(0.5)
+            [name] = [
+                name for name, each in fleet.workers.items() if each.runs
+            ]
+            endpoint = fleet.endpoints[name]
+            fleet.driver.partition(entry, endpoint)
+            fleet.run_for(1.8)
+            fleet.driver.heal(entry, endpoint)
+        fleet.run_for(SETTLE_S)
+        assert succeeded(call)
+
     def test_worker_that_falls_silent(self):
         """Guards against blaming a task for a worker that is cut off."""
         fleet = testing.make_pool(speeds=(1.0,))
