Answer "may have run" if a worker was lost under the job before

A caller whose job lost a worker at one entry, and that submitted it again at another one, could get 503, "never runs", although the second entry had been told of the loss by an endpoint process.

Cause: the refusal that tells of the loss counts as an order that didn't run, which is true of the order and not of the job. The entry now notes that the job was started before, and its rejections say so.

--- a/azurepier/dispatch/_crashes.py
+++ b/azurepier/dispatch/_crashes.py
@@ -158,6 +158,8 @@
             record.starts_left += 1
         if reason not in _TOLD_REASONS:
             return []
+        if run.task is not None:
+            run.task.job.started_before = True
     elif reason not in _LOSS_REASONS:
         return []
     record = _remember(node, run.name)
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -86,7 +86,8 @@
     may_have_run : bool
         Whether a run has ended that the worker may have started.
     started_before : bool
-        Whether this entry started the job for an earlier submission.
+        Whether the job was started for an earlier submission, as far as this
+        entry knows.
     """
 
     reqs: set
--- a/azurepier/dispatch/tests/test_crashes.py
+++ b/azurepier/dispatch/tests/test_crashes.py
@@ -5,6 +5,9 @@
 import pytest
 
 from azurepier import dispatch
+from azurepier.dispatch import _runs
+from azurepier.kernel import effects
+from azurepier.kernel import Status
 from azurepier import testing
 
 SPEEDS = (1.0,) * 8
@@ -120,6 +123,22 @@
         ]
         assert reasons == ['crash_suspect_here', 'crash_cause']
 
+    def test_resubmitted_job_is_not_answered_not_run(self):
+        """Guards against "not run" from an entry that was told of a run."""
+        fleet = testing.make_pool(entries=1, speeds=(1.0,))
+        call = fleet.submit(1.0, entry='e0')
+        fleet.run_for(0.1)
+        node, now = fleet.entries['e0'].node, fleet.driver.now
+        [endpoint] = node.endpoints.values()
+        [run] = endpoint.runs.values()
+        _runs.end_run(node, endpoint, run, Status.REFUSED, 'lost_here', now)
+        job = node.jobs[call.job.id]
+        assert not job.has_started
+        rejected = dispatch.Rejected('overload', retry_after_s=1)
+        out = _runs.finish_job(node, job, rejected, now)
+        [answer] = [each for each in out if isinstance(each, effects.Answer)]
+        assert answer.body.verdict is dispatch.Verdict.MAY_HAVE_RUN
+
 
 class TestInnocentTasks:
     def test_neighbour_of_a_deadly_task(self):
