Show that a returned worker carries out a start that was voided

A caller gets 503, "not run", for a job whose task a worker starts afterwards; and a task runs on two workers at the same time.

A start without an answer is voided by a stop, or ends with its worker. If the worker returns under the id that it had, it knows neither the stop nor the generation, and its clock starts anew, so that the deadline of the old start lies ahead. Expect-Instance matches. If the start is then carried out, seconds late, nothing prevents it: the endpoint process keeps its generation over a restart of the worker.

Evidence: the tests, deterministic. The simulated worker differs from a real one in two points, which the test makes up for: its id contains the incarnation, and it ignores the generation of lists and stops.

--- /dev/null
+++ b/azurepier/dispatch/tests/test_returned_worker.py
@@ -0,0 +1,121 @@
+"""What is concluded about a worker that returns under the same id.
+
+Such a worker has lost its runs, its run numbers and the generation, and its
+clock starts anew. A start that was sent to its earlier incarnation may be
+carried out by the new one: the id matches, and the deadline lies ahead on the
+new clock.
+"""
+
+from azurepier import dispatch
+from azurepier import runner
+from azurepier import testing
+
+
+def make_fleet(**options):
+    """Return a fleet, its unanswered starts and the workers that lose them.
+
+    The starts are collected with their worker, to be carried out by
+    `run_late_starts`.
+    """
+    fleet = testing.make_pool(**options)
+    late_starts = []
+    losing_workers = set()
+
+    def start(driver, process, effect):
+        worker = process.worker
+        if worker.name not in losing_workers:
+            worker.start(process, effect)
+            return
+        late_starts.append((worker, effect))
+        result = runner.StartResult.NO_ANSWER
+        event = runner.StartAnswered(effect.task, effect.number, result)
+        driver.after(0.06, driver.feed, process, event)
+
+    def list_runs(driver, process, effect):
+        worker = process.worker
+        # A worker keeps the highest generation of all calls.
+        worker.generation = max(worker.generation, effect.generation)
+        worker.list(process, effect)
+
+    fleet.driver.effect_handlers[runner.StartRun] = start
+    fleet.driver.effect_handlers[runner.ListRuns] = list_runs
+    return fleet, late_starts, losing_workers
+
+
+def report(fleet, name):
+    """Deliver a report of a worker without waiting for its heartbeat."""
+    event = runner.WorkerReported(fleet.workers[name].report())
+    fleet.driver.feed(fleet.endpoints[name], event)
+
+
+def return_under_same_id(fleet, name):
+    """Crash a worker; it is back at once with its id and a new clock."""
+    worker = fleet.workers[name]
+    worker.crash()
+    worker.leaving = False
+    worker.clock_offset_ms = -1000 * fleet.driver.now
+    report(fleet, name)
+
+
+def run_late_starts(late_starts):
+    """Carry out the starts that were not answered."""
+    for worker, effect in late_starts:
+        # The simulated worker puts its incarnation into its id.
+        effect = runner.StartRun(
+            effect.task,
+            effect.number,
+            effect.spec,
+            effect.lease_ms,
+            effect.generation,
+            f'{worker.name}-{worker.born}',
+        )
+        worker._start(effect)
+
+
+class TestLateStart:
+    def run_rejected_job(self, returns):
+        """Return starts of a rejected job whose start is carried out late."""
+        fleet, late_starts, losing_workers = make_fleet(speeds=(1.0,))
+        losing_workers.add('w0')
+        call = fleet.submit(0.1, entry='e0')
+        fleet.run_for(0.01)
+        assert late_starts
+        # No further start of the job is sent.
+        fleet.workers['w0'].leaving = True
+        report(fleet, 'w0')
+        fleet.run_for(2.0)
+        assert call.body.verdict is dispatch.Verdict.NOT_RUN
+        if returns:
+            return_under_same_id(fleet, 'w0')
+        fleet.run_for(1.0)
+        run_late_starts(late_starts)
+        fleet.run_for(1.0)
+        return fleet.ledger.started
+
+    def test_stop_prevents_a_late_start(self):
+        """Guards against "not run" while an unanswered start is pending."""
+        assert self.run_rejected_job(returns=False) == {}
+
+    def test_rejected_job_is_not_started_by_a_returned_worker(self):
+        """Guards against a run of a job that was answered "not run"."""
+        assert self.run_rejected_job(returns=True) == {}
+
+    def test_returned_worker_starts_no_second_run(self):
+        """Guards against a second run while the task runs elsewhere."""
+        fleet, late_starts, losing_workers = make_fleet(speeds=(1.0, 1.0))
+        losing_workers.update(fleet.workers)
+        call = fleet.submit(4.0, entry='e0')
+        fleet.run_for(0.01)
+        [(worker, _)] = late_starts
+        losing_workers.clear()
+        worker.leaving = True
+        report(fleet, worker.name)
+        fleet.run_for(0.3)
+        return_under_same_id(fleet, worker.name)
+        fleet.run_for(2.0)
+        [(name, _)] = fleet.ledger.running[f'{call.job.id}.0.0.0']
+        assert name != worker.name
+        run_late_starts(late_starts)
+        fleet.run_for(6.0)
+        assert fleet.ledger.overlaps == []
+        assert call.body == dispatch.Finished(True)
