Show that a start before the first list of a returned worker runs twice

A worker returns at once under its id; a start that arrives before the endpoint process has noticed is taken by the new incarnation. The next list shows the restart, which ends all runs as stopped, also the one that this very list shows as running. Its entry starts the task elsewhere within milliseconds, while the stop of the first run takes up to 50 ms.

Evidence: the test, deterministic, with stops that take 30 ms. A worker that is away for longer than 0.4 s is known to be unreachable, and gets no start before the list.

The other test shows that a stop voids a start within its deadline.

--- a/azurepier/dispatch/tests/test_returned_worker.py
+++ b/azurepier/dispatch/tests/test_returned_worker.py
@@ -6,11 +6,21 @@
 new clock.
 """
 
+import attrs
+
 from azurepier import dispatch
 from azurepier import runner
 from azurepier import testing
 
 
+def address_current_worker(worker, effect):
+    """Return a start as a worker with a constant id takes it.
+
+    The simulated worker puts its incarnation into its id.
+    """
+    return attrs.evolve(effect, worker=f'{worker.name}-{worker.born}')
+
+
 def make_fleet(**options):
     """Return a fleet, its unanswered starts and the workers that lose them.
 
@@ -24,7 +34,7 @@
     def start(driver, process, effect):
         worker = process.worker
         if worker.name not in losing_workers:
-            worker.start(process, effect)
+            worker.start(process, address_current_worker(worker, effect))
             return
         late_starts.append((worker, effect))
         result = runner.StartResult.NO_ANSWER
@@ -60,16 +70,7 @@
 def run_late_starts(late_starts):
     """Carry out the starts that were not answered."""
     for worker, effect in late_starts:
-        # The simulated worker puts its incarnation into its id.
-        effect = runner.StartRun(
-            effect.task,
-            effect.number,
-            effect.spec,
-            effect.lease_ms,
-            effect.generation,
-            f'{worker.name}-{worker.born}',
-        )
-        worker._start(effect)
+        worker._start(address_current_worker(worker, effect))
 
 
 class TestLateStart:
@@ -92,10 +93,23 @@
         fleet.run_for(1.0)
         return fleet.ledger.started
 
-    def test_stop_prevents_a_late_start(self):
-        """Guards against "not run" while an unanswered start is pending."""
+    def test_deadline_prevents_a_late_start(self):
+        """Guards against a start that is carried out seconds later."""
         assert self.run_rejected_job(returns=False) == {}
 
+    def test_stop_prevents_a_start_within_its_deadline(self):
+        """Guards against "refused" while an unanswered start is pending."""
+        fleet, late_starts, losing_workers = make_fleet(speeds=(1.0,))
+        losing_workers.add('w0')
+        fleet.submit(0.1, entry='e0')
+        fleet.run_for(0.01)
+        fleet.workers['w0'].leaving = True
+        report(fleet, 'w0')
+        fleet.run_for(0.3)
+        assert fleet.endpoints['w0'].node.runs == {}
+        run_late_starts(late_starts)
+        assert fleet.ledger.started == {}
+
     def test_rejected_job_is_not_started_by_a_returned_worker(self):
         """Guards against a run of a job that was answered "not run"."""
         assert self.run_rejected_job(returns=True) == {}
@@ -119,3 +133,28 @@
         fleet.run_for(6.0)
         assert fleet.ledger.overlaps == []
         assert call.body == dispatch.Finished(True)
+
+
+class TestStartOnReturn:
+    def test_run_of_the_new_incarnation_is_not_started_elsewhere(self):
+        """Guards against a second run if a start comes before the list.
+
+        The worker takes the start while the endpoint process doesn't know yet
+        that it has returned.
+        """
+        fleet, _, _ = make_fleet(speeds=(1.0, 1.0))
+        # Workers need up to 50 ms for a stop.
+        fleet.driver.effect_handlers[runner.StopRun] = (
+            lambda driver, process, effect: driver.after(
+                0.03, process.worker.stop, process, effect
+            )
+        )
+        fleet.submit(0.6, count=8, entry='e0')
+        fleet.run_for(0.4)
+        worker = fleet.workers['w0']
+        worker.crash()
+        worker.clock_offset_ms = -1000 * fleet.driver.now
+        call = fleet.submit(1.0, count=4, entry='e0')
+        fleet.run_for(8.0)
+        assert fleet.ledger.overlaps == []
+        assert call.body == dispatch.Finished(True)
