Test lists of a worker that arrive out of order

Both tests pass. Each fails without the check that it is for: the comparison of a list's request time with that of the latest list, and with the end of the last call about a run. Without either of the two checks test_errors, test_faults, test_evacuation, test_invariants and test_reconnection pass.

--- /dev/null
+++ b/azurepier/dispatch/tests/test_list_order.py
@@ -0,0 +1,48 @@
+"""Lists of a worker that arrive out of order."""
+
+from azurepier import runner
+from azurepier import testing
+
+
+def start_task(work_s):
+    """Return a fleet and its endpoint process with a task at work."""
+    fleet = testing.make_pool(entries=1, speeds=(1.0,))
+    call = fleet.submit(work_s, entry='e0')
+    fleet.run_for(0.01)
+    node = fleet.endpoints['w0'].node
+    assert len(node.runs) == 1
+    return fleet, node, f'{call.job.id}.0.0.0'
+
+
+def feed_list(fleet, requested_at, running=()):
+    """Pass a list to the endpoint process; return the effects."""
+    process, worker = fleet.endpoints['w0'], fleet.workers['w0']
+    event = runner.RunsListed(
+        requested_at=requested_at,
+        clock_ms=worker.clock(),
+        born=worker.born,
+        running=tuple(running),
+        ended=(),
+        number=0,
+    )
+    return process.handle(process.node, event, fleet.driver.now)
+
+
+class TestListOrder:
+    def test_list_requested_before_a_start_was_answered(self):
+        """Guards against the end of a run that an earlier list lacks."""
+        fleet, node, task = start_task(1.0)
+        run = node.runs[task]
+        assert node.last_list_requested_at < run.call_ended_at
+        feed_list(fleet, run.call_ended_at)
+        assert node.runs == {task: run}
+
+    def test_list_that_was_overtaken_by_a_later_one(self):
+        """Guards against a run that ended and is then taken as orphaned."""
+        fleet, node, task = start_task(0.3)
+        fleet.run_for(0.5)
+        assert node.runs == {}
+        row = runner.RunningRow(task, 1, 50)
+        emitted = feed_list(fleet, node.last_list_requested_at - 0.1, [row])
+        assert not any(isinstance(each, runner.StopRun) for each in emitted)
+        assert node.orphaned_runs == {}
