Test that a task waits while an earlier run of it exists

Both tests pass: a job that comes again at its entry while the stop of its earlier run is under way, and at another entry while its worker still has the run of a killed endpoint process.

--- /dev/null
+++ b/azurepier/dispatch/tests/test_resubmission.py
@@ -0,0 +1,55 @@
+"""A task of which an earlier run still exists when its job comes again."""
+
+from azurepier import dispatch
+from azurepier.kernel import events
+from azurepier import runner
+from azurepier import testing
+
+
+def hold_stops(fleet, delay_s):
+    """Let the workers carry out stops only after a delay (s)."""
+    fleet.driver.effect_handlers[runner.StopRun] = (
+        lambda driver, process, effect: driver.after(
+            delay_s, process.worker.stop, process, effect
+        )
+    )
+
+
+class TestEarlierRun:
+    def test_same_entry_waits_for_the_end_of_the_earlier_run(self):
+        """Guards against two runs if a job comes again at its entry."""
+        fleet = testing.make_pool(entries=1, speeds=(1.0, 1.0))
+        hold_stops(fleet, 0.05)
+        call = fleet.submit(2.0, entry='e0')
+        fleet.run_for(0.3)
+        fleet.open_calls.pop(call.req)
+        entry = fleet.entries['e0']
+        fleet.driver.feed(entry, events.Abandon(call.req))
+        fleet.driver.feed(entry, dispatch.Submit(1000, call.queue, call.job))
+        fleet.run_for(4.0)
+        assert fleet.ledger.overlaps == []
+        _, answer = fleet.driver.answers['e0', 1000]
+        assert answer == dispatch.Finished(True)
+
+    def test_worker_with_an_orphaned_run_takes_no_second_one(self):
+        """Guards against a start beside the run of a killed process."""
+        fleet = testing.make_pool(entries=2, speeds=(1.0,))
+        fleet.submit(2.0, entry='e0')
+        fleet.run_for(0.3)
+        hold_stops(fleet, 0.3)
+        fleet.driver.kill(fleet.endpoints['w0'])
+        fleet.start_endpoint('w0')
+        fleet.driver.feed(
+            fleet.endpoints['w0'],
+            runner.WorkerReported(fleet.workers['w0'].report()),
+        )
+        fleet.run_for(0.1)
+        node = fleet.endpoints['w0'].node
+        [task] = node.orphaned_runs
+        event = dispatch.Submit(1000, fleet.calls[0].queue, fleet.calls[0].job)
+        fleet.driver.feed(fleet.entries['e1'], event)
+        fleet.run_for(0.05)
+        assert node.counters['refused_already_there'] >= 1
+        assert task not in node.runs
+        fleet.run_for(5.0)
+        assert fleet.ledger.overlaps == []
