Test that an unconfirmed stop and a dropped run are not forgotten

Both new tests pass: a run isn't refused before its stop is confirmed, and an entry stops a run that a returning endpoint process lists and that it has dropped.

--- a/azurepier/dispatch/tests/test_resubmission.py
+++ b/azurepier/dispatch/tests/test_resubmission.py
@@ -1,7 +1,9 @@
 """A task of which an earlier run still exists when its job comes again."""
 
 from azurepier import dispatch
+from azurepier.kernel import effects
 from azurepier.kernel import events
+from azurepier.kernel import messages
 from azurepier import runner
 from azurepier import testing
 
@@ -53,3 +55,31 @@
         assert task not in node.runs
         fleet.run_for(5.0)
         assert fleet.ledger.overlaps == []
+
+
+class TestUnknownRun:
+    def test_entry_stops_a_run_that_it_has_dropped(self):
+        """Guards against a run that goes on beside its successor.
+
+        The entry has dropped its state of the endpoint process meanwhile.
+        """
+        fleet = testing.make_pool(entries=1, speeds=(1.0,))
+        entry, endpoint = fleet.entries['e0'], fleet.endpoints['w0']
+        sent = []
+        send = fleet.driver.effect_handlers[effects.Send]
+
+        def record(driver, process, effect):
+            if isinstance(effect.msg, messages.RunStops):
+                sent.append(effect.msg.seqs)
+            send(driver, process, effect)
+
+        fleet.driver.effect_handlers[effects.Send] = record
+        fleet.submit(2.0, entry='e0')
+        fleet.run_for(0.1)
+        [known] = entry.node.endpoints.values()
+        [seq] = known.runs
+        del entry.node.endpoints[known.incarnation]
+        del entry.node.by_conn[known.conn]
+        fleet.driver._connect(endpoint, entry.address)
+        fleet.run_for(0.05)
+        assert sent == [[seq]]
--- a/azurepier/dispatch/tests/test_returned_worker.py
+++ b/azurepier/dispatch/tests/test_returned_worker.py
@@ -110,6 +110,25 @@
         run_late_starts(late_starts)
         assert fleet.ledger.started == {}
 
+    def test_run_is_not_refused_before_its_stop_is_confirmed(self):
+        """Guards against "refused" while a start may still begin a run."""
+        fleet, late_starts, losing_workers = make_fleet(speeds=(1.0,))
+        losing_workers.add('w0')
+        fleet.driver.effect_handlers[runner.StopRun] = (
+            lambda driver, process, effect: driver.after(
+                0.06,
+                driver.feed,
+                process,
+                runner.StopAnswered(effect.task, effect.number, False),
+            )
+        )
+        fleet.submit(0.1, entry='e0')
+        fleet.run_for(0.4)
+        assert late_starts
+        node = fleet.endpoints['w0'].node
+        assert node.counters['stops_repeated'] > 0
+        assert len(node.runs) == 1
+
     def test_rejected_job_is_not_started_by_a_returned_worker(self):
         """Guards against a run of a job that was answered "not run"."""
         assert self.run_rejected_job(returns=True) == {}
