--- a/azurepier/dispatch/_links.py
+++ b/azurepier/dispatch/_links.py
@@ -123,10 +123,10 @@
 def _status_of_missing(run, state):
     """Return status and reason of a run that an endpoint doesn't report.
 
-    An order above the highest number received was lost with its connection,
-    which is closed, so that it can't arrive any more. A lower one did arrive;
-    the run has ended, and the endpoint process no longer reports its end. If
-    no order was received, the endpoint process may have forgotten this entry.
+    An order above the highest number received was sent on an earlier session,
+    whose messages the endpoint process no longer handles. A lower one did
+    arrive; the run has ended, and its end is no longer reported. If no order
+    was received, the endpoint process may have forgotten this entry.
     """
     if run.seq > state.seen > 0:
         return Status.REFUSED, 'not_received'
