Raise the generation by one on restarts and by a step on refusals

Callers would have waited while an endpoint process whose clock had been set back by an hour was refused thousands of times, and the successor of a process whose worker had restarted a few times would have been refused at first.

Both new tests fail before.

--- a/azurepier/dispatch/tests/test_returned_worker.py
+++ b/azurepier/dispatch/tests/test_returned_worker.py
@@ -177,3 +177,41 @@
         fleet.run_for(8.0)
         assert fleet.ledger.overlaps == []
         assert call.body == dispatch.Finished(True)
+
+
+class TestGeneration:
+    def test_clock_that_was_set_back(self):
+        """Guards against a process that its worker refuses for long.
+
+        The generation of a process is its start time, which is lower than that
+        of its predecessor if the clock was set back in between.
+        """
+        fleet, _, _ = make_fleet(speeds=(1.0,))
+        worker, process = fleet.workers['w0'], fleet.endpoints['w0']
+        worker.generation = process.node.generation + 7000
+
+        def list_runs(driver, process, effect):
+            if effect.generation >= worker.generation:
+                worker.list(process, effect)
+                return
+            event = runner.ListFailed(
+                'status 409 fence', effect.number, old_generation=True
+            )
+            driver.after(0.001, driver.feed, process, event)
+
+        fleet.driver.effect_handlers[runner.ListRuns] = list_runs
+        fleet.run_for(2.0)
+        call = fleet.submit(0.1, entry='e0')
+        fleet.run_for(0.5)
+        assert call.body == dispatch.Finished(True)
+
+    def test_few_restarts_of_a_worker_leave_the_generation_low(self):
+        """Guards against a successor that its worker refuses."""
+        fleet, _, _ = make_fleet(speeds=(1.0,))
+        node = fleet.endpoints['w0'].node
+        before = node.generation
+        for _ in range(3):
+            fleet.run_for(2.0)
+            return_under_same_id(fleet, 'w0')
+            fleet.run_for(2.0)
+        assert before < node.generation <= before + 3
--- a/azurepier/runner/_lists.py
+++ b/azurepier/runner/_lists.py
@@ -156,7 +156,7 @@
     is_latest = _requests.complete_request(node, event)
     _crashes.record_failed_call(node, now, event.refused)
     if event.old_generation:
-        node.generation += 1
+        _requests.raise_generation(node)
     out = []
     delay_s = 0.0
     if now - node.last_list_requested_at > UNREACHABLE_AFTER_S:
@@ -184,7 +184,7 @@
     node.clock_offset_ms = None
     # The new incarnation may carry out a delayed start of the earlier one, if
     # it has the same id. The next call makes it refuse the lower generation.
-    _requests.raise_generation(node)
+    node.generation += 1
     if node.worker is not None and node.worker.born != born:
         node.worker = None
         node.changed = True
