Log when an entry hears of a version, from whom, and what it offers

The lines of an entry couldn't tell a change that was delivered and not taken from one that was heard late or never offered: config_applied had the version only. Entries now log config_heard (first news of a version, and its source), config_applied with source, revision and the time since, and config_offered.

--- /dev/null
+++ b/azurepier/dispatch/_config.py
@@ -0,0 +1,105 @@
+"""Versions of the operator's configuration at an entry.
+
+Load pattern: a dozen changes a minute, of which every entry has to know within
+seconds. An entry learns of a version from the store, and from the other
+entries while it is cut off from the store; it passes on what it applies.
+"""
+
+import attrs
+
+from azurepier.dispatch import _model
+from azurepier.dispatch import _state
+from azurepier.kernel import effects
+from azurepier.kernel import messages
+
+MS_PER_S = 1000
+STORE = 'store'
+
+
+@attrs.frozen
+class RoutingLoaded:
+    """A version of the operator's configuration was read.
+
+    Parameters
+    ----------
+    routing : Routing
+    source : str
+        `STORE`, or the name of the entry that sent it.
+    revision : int
+        Revision of the item in the store; -1 if another entry sent it.
+    """
+
+    routing: object
+    source: str = STORE
+    revision: int = -1
+
+
+def on_routing_loaded(node, event, now):
+    """Apply a newer configuration; ignore an older one."""
+    routing = event.routing
+    if routing.version <= _state.config_version(node):
+        return []
+    out = hear(node, routing.version, event.source, now)
+    if node.routing is None:
+        out.append(_model.FirstConfigApplied())
+    node.routing = routing
+    node.dirty = True
+    fields = {
+        'version': routing.version,
+        'queues': len(routing.queues),
+        'source': event.source,
+        'revision': event.revision,
+        'heard_ms': round((now - node.config_heard_at) * MS_PER_S),
+    }
+    out.append(effects.Log('config_applied', fields))
+    for peer in node.peers.values():
+        out += offer(node, peer)
+    return out
+
+
+def hear(node, version, source, now):
+    """Note a version that is newer than all that this entry has heard of."""
+    if version <= node.config_heard:
+        return []
+    node.config_heard, node.config_heard_at = version, now
+    fields = {'version': version, 'source': source}
+    return [effects.Log('config_heard', fields)]
+
+
+def on_peer_version(node, peer, version, now):
+    """Note the version of another entry, and offer it a newer one."""
+    out = hear(node, version, peer.name, now)
+    peer.config_version = max(peer.config_version, version)
+    return out + offer(node, peer)
+
+
+def offer(node, peer):
+    """Send the applied configuration to an entry that has an older one."""
+    version = _state.config_version(node)
+    if peer.config_version >= version:
+        return []
+    peer.config_version = version
+    update = messages.ConfigUpdate(
+        version=version, base=0, body=node.routing.body
+    )
+    fields = {'version': version, 'entry': peer.name}
+    return [
+        effects.Log('config_offered', fields),
+        effects.Send(peer.conn, update),
+    ]
+
+
+def on_update(node, peer, msg, now):
+    """Let the shell decode the configuration of another entry."""
+    out = hear(node, msg.version, peer.name, now)
+    peer.config_version = max(peer.config_version, msg.version)
+    if msg.version <= _state.config_version(node):
+        return out
+    return [*out, effects.Decode(msg.body, peer.name)]
+
+
+def behind_s(node, now):
+    """Return for how long a newer version has been known of, 0 if none is."""
+    if node.config_heard <= _state.config_version(node):
+        return 0.0
+    return now - node.config_heard_at
--- a/azurepier/dispatch/_node.py
+++ b/azurepier/dispatch/_node.py
@@ -2,6 +2,7 @@
 
 from azurepier.dispatch import _bounds
 from azurepier.dispatch import _callers
+from azurepier.dispatch import _config
 from azurepier.dispatch import _drain
 from azurepier.dispatch import _evacuation
 from azurepier.dispatch import _links
@@ -18,8 +19,6 @@
 from azurepier.kernel import Verdict
 from azurepier import membership
 
-RoutingLoaded = _peers.RoutingLoaded
-
 MS_PER_S = 1000
 # Retry-After of a job whose handler raised (s); another entry may serve it
 # without a delay.
@@ -124,6 +123,8 @@
         'entries': len(node.roster.known) + 1,
         'peers': len(node.peers),
         'config_version': _state.config_version(node),
+        'config_heard': node.config_heard,
+        'config_behind_s': _config.behind_s(node, now),
         'evacuated_domains': (
             -1 if node.evacuations is None else len(node.evacuations.domains)
         ),
@@ -186,7 +187,7 @@
     events.Drain: _drain.on_drain,
     events.MembersSeen: _peers.on_members_seen,
     membership.EvacuationsLoaded: _evacuation.on_evacuations_loaded,
-    _peers.RoutingLoaded: _peers.on_routing_loaded,
+    _config.RoutingLoaded: _config.on_routing_loaded,
 }
 
 _ENDPOINT_MESSAGES = {
@@ -200,7 +201,7 @@
 _PEER_MESSAGES = {
     messages.Beat: _peers.on_heartbeat,
     messages.EntriesKnown: _peers.on_entries_known,
-    messages.ConfigUpdate: _peers.on_config_update,
+    messages.ConfigUpdate: _config.on_update,
 }
 
 _TIMERS = {
--- a/azurepier/dispatch/_peers.py
+++ b/azurepier/dispatch/_peers.py
@@ -5,11 +5,9 @@
 demand for an endpoint to that endpoint and not to the other entries.
 """
 
-import attrs
-
 from azurepier.dispatch import _bounds
+from azurepier.dispatch import _config
 from azurepier.dispatch import _evacuation
-from azurepier.dispatch import _model
 from azurepier.dispatch import _state
 from azurepier.kernel import effects
 from azurepier.kernel import messages
@@ -39,7 +37,6 @@
         conn,
         now,
         dialed=dialed,
-        config_version=hello.config_version,
     )
     node.peers[conn] = peer
     node.roster.learn(peer.address, peer.domain, now)
@@ -51,7 +48,8 @@
         # evacuated failure domain.
         msg = _evacuation.make_heartbeat(node, 0.0)
         out.append(effects.Send(conn, msg))
-    return out + send_roster(node, peer, now) + offer_config(node, peer)
+    out += send_roster(node, peer, now)
+    return out + _config.on_peer_version(node, peer, hello.config_version, now)
 
 
 def _closes_duplicates(node, hello):
@@ -68,23 +66,10 @@
     ]
 
 
-def offer_config(node, peer):
-    """Send the applied configuration to an entry that has an older one."""
-    version = _state.config_version(node)
-    if peer.config_version >= version:
-        return []
-    peer.config_version = version
-    update = messages.ConfigUpdate(
-        version=version, base=0, body=node.routing.body
-    )
-    return [effects.Send(peer.conn, update)]
-
-
 def on_heartbeat(node, peer, msg, now):
     """Apply the peer's update, and send it the configuration if newer."""
-    peer.config_version = max(peer.config_version, msg.config_version)
     out = _evacuation.on_peer_update(node, peer, msg)
-    return out + offer_config(node, peer)
+    return out + _config.on_peer_version(node, peer, msg.config_version, now)
 
 
 def on_entries_known(node, peer, msg, now):
@@ -173,37 +158,3 @@
         out.append(effects.Abort(peer.conn))
         out += remove_peer(node, peer, reason)
     return out
-
-
-@attrs.frozen
-class RoutingLoaded:
-    """A version of the operator's configuration was read."""
-
-    routing: object
-
-
-def on_routing_loaded(node, event, now):
-    """Apply a newer configuration; ignore an older one."""
-    routing = event.routing
-    if routing.version <= _state.config_version(node):
-        return []
-    out = [] if node.routing is not None else [_model.FirstConfigApplied()]
-    node.routing = routing
-    node.dirty = True
-    out += [
-        effects.Log(
-            'config_applied',
-            {'version': routing.version, 'queues': len(routing.queues)},
-        )
-    ]
-    for peer in node.peers.values():
-        out += offer_config(node, peer)
-    return out
-
-
-def on_config_update(node, peer, msg, now):
-    """Let the shell decode the configuration of another entry."""
-    peer.config_version = max(peer.config_version, msg.version)
-    if msg.version <= _state.config_version(node):
-        return []
-    return [effects.Decode(msg.body)]
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -310,6 +310,10 @@
         factory=collections.OrderedDict
     )
     routing: object = None
+    # Newest version of the configuration that this entry has heard of, -1 for
+    # none, and when (s).
+    config_heard: int = -1
+    config_heard_at: float = 0.0
     # Evacuated failure domains, None before the first update of them, and the
     # time of the latest answer of the store (s).
     evacuations: object = None
--- a/azurepier/kernel/_effects.py
+++ b/azurepier/kernel/_effects.py
@@ -94,6 +94,10 @@
 
 @attrs.frozen
 class Decode:
-    """Decode a configuration that another entry sent."""
+    """Decode a configuration that another entry sent.
+
+    `source` is the name of that entry, for the log.
+    """
 
     body: bytes
+    source: str
