--- a/azurepier/testing/__init__.py
+++ b/azurepier/testing/__init__.py
@@ -21,6 +21,7 @@
 from azurepier.testing._pool import queue
 from azurepier.testing._pool import task_names
 from azurepier.testing import _scale as scale
+from azurepier.testing import _virtual_loop as virtual_loop
 from azurepier.testing._worker import PoolWorker
 
 __all__ = [
@@ -46,4 +47,5 @@
     'slow_down',
     'spec',
     'task_names',
+    'virtual_loop',
 ]
--- a/tests/adapter/fakes.py
+++ b/tests/adapter/fakes.py
@@ -137,20 +137,22 @@
         after, prefix = int(query['after']), query['path_prefix']
         if after < self.discarded_revision:
             return Reply({}, 410)
-        wait_until = time.monotonic() + int(query['wait_ms']) / 1000
+        loop = asyncio.get_running_loop()
+        expires_at = loop.time() + int(query['wait_ms']) / 1000
+        expired = False
         while True:
             matching = [
                 change
                 for change in self.changes
                 if change['rev'] > after and change['key'].startswith(prefix)
             ]
-            left_s = wait_until - time.monotonic()
-            if matching or left_s <= 0:
+            if matching or expired:
                 return Reply({'events': matching, 'at_rev': self.revision})
             try:
-                await asyncio.wait_for(self.changed.wait(), left_s)
+                async with asyncio.timeout_at(expires_at):
+                    await self.changed.wait()
             except TimeoutError:
-                continue
+                expired = True
 
     async def _commit(self, req, query):
         body = req.json()
--- /dev/null
+++ b/tests/adapter/virtual_fleet.py
@@ -0,0 +1,239 @@
+"""Entries as whole programs on virtual time, beside a store with faults.
+
+What a machine in touch must have in force is judged as the operators do: it
+has run undisturbed for `CONTACT_S`, the store has been sound for as long, and
+the change was acknowledged more than `APPLY_S` ago.
+"""
+
+import asyncio
+import contextlib
+import functools
+import random
+
+from adapter import _entry
+from adapter import _listening
+from adapter import _process
+from adapter import _settings
+from adapter import _store
+import attrs
+import orjson
+
+from azurepier.testing import virtual_loop
+from standins import _server
+
+import fakes
+
+CONTACT_S = 3.0
+APPLY_S = 2.0
+# Time of an answer of the store (s), and that of a loss of its history during
+# which no watch is answered.
+ANSWER_S = 0.004
+DEAF_S = 1.26
+SAMPLE_S = 0.05
+STORE_HOST = '10.200.1.7'
+
+
+def config_body(version):
+    """Return a configuration with one route."""
+    route = {
+        'name': 'r',
+        'hostname': 'h',
+        'path_prefix': f'/v{version}/',
+        'service': 'pool',
+    }
+    return orjson.dumps({'version': version, 'routes': [route]})
+
+
+@attrs.define(eq=False)
+class Entry:
+    """A running entry process."""
+
+    name: str
+    host: str
+    shell: object = None
+    task: object = None
+
+    @property
+    def version(self):
+        """Version of the configuration in force, -1 for none."""
+        routing = self.shell.node.routing
+        return -1 if routing is None else routing.version
+
+
+@attrs.define(eq=False)
+class Fleet:
+    """Entries, their store and the operator.
+
+    Attributes
+    ----------
+    store_faults : dict of str to str
+        What the store does to the requests of a host: 'busy', 'many', 'reset'
+        or 'silent'.
+    calm_since : dict of str to float
+        Time of the end of the latest disturbance by host; '' is the store (s).
+    acknowledged : list of tuple
+        Time and version of each change.
+    violations : list of str
+    worst_lag_s : float
+        Longest time from a change to its effect at an entry in touch (s).
+    """
+
+    loop: object
+    rng: random.Random
+    store: object = attrs.field(factory=fakes.FakeStore)
+    entries: dict = attrs.field(factory=dict)
+    store_faults: dict = attrs.field(factory=dict)
+    calm_since: dict = attrs.field(factory=dict)
+    acknowledged: list = attrs.field(factory=list)
+    violations: list = attrs.field(factory=list)
+    worst_lag_s: float = 0.0
+    deaf: asyncio.Event | None = None
+    version: int = 0
+
+    def disturb(self, *hosts, for_s=0.0):
+        """Note a disturbance of hosts that lasts for some time from now."""
+        end = self.loop.time() + for_s
+        for host in hosts:
+            self.calm_since[host] = max(self.calm_since.get(host, 0.0), end)
+
+    def change(self):
+        """Write a configuration, as the operator does."""
+        self.version += self.rng.randint(1, 4)
+        self.store.put(_store.CONFIG_KEY, config_body(self.version))
+        self.acknowledged.append((self.loop.time(), self.version))
+
+    async def _handle(self, host, req):
+        await asyncio.sleep(ANSWER_S)
+        fault = self.store_faults.get(host)
+        if fault == 'silent':
+            await self.loop.create_future()
+        if fault == 'reset':
+            return None
+        if fault is not None:
+            return _server.Reply({}, {'busy': 503, 'many': 429}[fault])
+        reply = await self.store.handle(req)
+        if self.deaf is not None and req.path == '/kv-watch':
+            await self.deaf.wait()
+            return None
+        return reply
+
+    async def start_entry(self, name):
+        """Start or restart an entry."""
+        number = int(name[1:])
+        host = f'10.0.0.{number + 1}'
+        self.disturb(host)
+        context_host = virtual_loop.HOST.set(STORE_HOST)
+        server = await _server.start(functools.partial(self._handle, host))
+        virtual_loop.HOST.set(host)
+        # The stand-in listens on loopback, as seen from every host.
+        sock = virtual_loop.ListeningSocket(STORE_HOST, server.port)
+        self.loop.servers[sock.getsockname()] = server._server
+        settings = _settings.Settings(
+            name=name,
+            domain=f'd{number % 3}',
+            ip=host,
+            inner_port=7000,
+            seed_hosts=tuple(f'10.0.0.{each}' for each in (1, 2, 3)),
+            front=f'{host}:8161',
+            ready=f'{host}:8167',
+            control=None,
+            worker=None,
+            pool='',
+            store=f'{STORE_HOST}:{server.port}',
+            grace_s=6.0,
+        )
+        sockets = _listening.ListeningSockets(
+            **{
+                key: virtual_loop.ListeningSocket(host, port)
+                for key, port in (
+                    ('metrics', 9464),
+                    ('front', 8161),
+                    ('ready', 8167),
+                    ('inner', 7000),
+                )
+            }
+        )
+        entry = Entry(name, host)
+        make_shell = _process.make_shell
+
+        def keep_shell(module, node):
+            entry.shell = make_shell(module, node)
+            return entry.shell
+
+        _process.make_shell = keep_shell
+        rng = random.Random(self.rng.random())
+        entry.task = self.loop.create_task(
+            _entry.run_entry(settings, sockets, rng)
+        )
+        while entry.shell is None:
+            await asyncio.sleep(0)
+        _process.make_shell = make_shell
+        virtual_loop.HOST.reset(context_host)
+        self.entries[name] = entry
+
+    def kill(self, name):
+        """Kill an entry."""
+        entry = self.entries.pop(name)
+        entry.shell.closing = True
+        self.loop.kill(entry.host)
+
+    async def lose_history(self):
+        """Leave watches unanswered, make a change, drop the history."""
+        self.disturb('', for_s=DEAF_S)
+        self.deaf = asyncio.Event()
+        await asyncio.sleep(DEAF_S * self.rng.random())
+        self.change()
+        await asyncio.sleep(DEAF_S / 2)
+        self.store.discard_history()
+        deaf, self.deaf = self.deaf, None
+        deaf.set()
+
+    def silence(self, entry):
+        """Let all open connections of an entry go silent for good."""
+        for end in self.loop.connections(entry.host):
+            end.silent = end.other.silent = True
+            self.disturb(*{end.host, end.other.host} - {STORE_HOST})
+
+    async def judge(self):
+        """Compare the entries in touch with what was acknowledged."""
+        while True:
+            await asyncio.sleep(SAMPLE_S)
+            now = self.loop.time()
+            if now - self.calm_since.get('', 0.0) < CONTACT_S:
+                continue
+            for entry in self.entries.values():
+                calm_s = now - self.calm_since[entry.host]
+                if calm_s < CONTACT_S or entry.version < 0:
+                    continue
+                missing = [
+                    (now - at, version)
+                    for at, version in self.acknowledged
+                    if version > entry.version
+                ]
+                if not missing:
+                    continue
+                lag_s, version = missing[0]
+                self.worst_lag_s = max(self.worst_lag_s, lag_s)
+                if lag_s > APPLY_S:
+                    self.violations.append(
+                        f'{now:.2f} s: {entry.name} has {entry.version}, but '
+                        f'{version} was acknowledged {lag_s:.2f} s before'
+                    )
+
+
+@contextlib.asynccontextmanager
+async def running_fleet(seed, size):
+    """Yield a fleet that has been running for some seconds."""
+    loop = asyncio.get_running_loop()
+    fleet = Fleet(loop, random.Random(seed))
+    fleet.change()
+    for index in range(size):
+        await fleet.start_entry(f'e{index}')
+    await asyncio.sleep(5.0)
+    judge = loop.create_task(fleet.judge())
+    try:
+        yield fleet
+    finally:
+        judge.cancel()
+        for name in list(fleet.entries):
+            fleet.kill(name)
