--- a/tests/adapter/virtual_fleet.py
+++ b/tests/adapter/virtual_fleet.py
@@ -76,6 +76,9 @@
     violations : list of str
     worst_lag_s : float
         Longest time from a change to its effect at an entry in touch (s).
+    worst_recovery_s : float
+        Longest time until a change was in force at an entry that ran, counted
+        from the change or the end of the latest disturbance (s).
     """
 
     loop: object
@@ -87,6 +90,7 @@
     acknowledged: list = attrs.field(factory=list)
     violations: list = attrs.field(factory=list)
     worst_lag_s: float = 0.0
+    worst_recovery_s: float = 0.0
     deaf: asyncio.Event | None = None
     version: int = 0
 
@@ -195,30 +199,35 @@
             self.disturb(*{end.host, end.other.host} - {STORE_HOST})
 
     async def judge(self):
-        """Compare the entries in touch with what was acknowledged."""
+        """Compare the entries with what was acknowledged."""
         while True:
             await asyncio.sleep(SAMPLE_S)
-            now = self.loop.time()
-            if now - self.calm_since.get('', 0.0) < CONTACT_S:
-                continue
             for entry in self.entries.values():
-                calm_s = now - self.calm_since[entry.host]
-                if calm_s < CONTACT_S or entry.version < 0:
-                    continue
-                missing = [
-                    (now - at, version)
-                    for at, version in self.acknowledged
-                    if version > entry.version
-                ]
-                if not missing:
-                    continue
-                lag_s, version = missing[0]
-                self.worst_lag_s = max(self.worst_lag_s, lag_s)
-                if lag_s > APPLY_S:
-                    self.violations.append(
-                        f'{now:.2f} s: {entry.name} has {entry.version}, but '
-                        f'{version} was acknowledged {lag_s:.2f} s before'
-                    )
+                if entry.version >= 0:
+                    self._judge_entry(entry)
+
+    def _judge_entry(self, entry):
+        now = self.loop.time()
+        missing = [
+            each for each in self.acknowledged if each[1] > entry.version
+        ]
+        if not missing:
+            return
+        changed_at, version = missing[0]
+        calm_since = max(
+            self.calm_since.get('', 0.0), self.calm_since[entry.host]
+        )
+        recovery_s = now - max(changed_at, calm_since)
+        self.worst_recovery_s = max(self.worst_recovery_s, recovery_s)
+        if now - calm_since < CONTACT_S:
+            return
+        lag_s = now - changed_at
+        self.worst_lag_s = max(self.worst_lag_s, lag_s)
+        if lag_s > APPLY_S:
+            self.violations.append(
+                f'{now:.2f} s: {entry.name} has {entry.version}, but '
+                f'{version} was acknowledged {lag_s:.2f} s before'
+            )
 
 
 @contextlib.asynccontextmanager
