Ask again for changes that an answer of the store may have left out

What callers would see: a change that is never in force, until the next one. Cause: a watch went on from the revision of the answer, also where the answer showed nothing. If the store answers so while it holds a change back, the change lies behind and is never asked for again; nothing reads the configuration otherwise. Class of fault: a belief that rests on a message which may be missed. Evidence: the new test fails before (version 2 in place of 3, never applied), with a stand-in that leaves a change out of the answers for 2 s. Fix: an empty answer moves the watch on only after 5 s. Until then the next watches ask for the same changes, which cost nothing if there are none; the store keeps 20 s of history.

--- a/azurepier/store/_follow.py
+++ b/azurepier/store/_follow.py
@@ -1,6 +1,9 @@
 """Watching the keys below a prefix of the store, with retries after faults."""
 
 import asyncio
+import collections
+
+import attrs
 
 from azurepier.store import _interface
 
@@ -10,6 +13,41 @@
 # Delay before a retry (s); the store bills every call, also a refused one.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.4
+# Changes from this time before an answer are asked for again by the next watch
+# (s), since an answer may have left out a change below its revision.
+OVERLAP_S = 5.0
+
+
+@attrs.define
+class _Position:
+    """Revision from which the next watch continues.
+
+    Attributes
+    ----------
+    revision : int or None
+        None before the first scan and after a loss of history.
+    """
+
+    revision: int | None = None
+    _answers: collections.deque = attrs.field(factory=collections.deque)
+
+    def advance(self, page, complete, now):
+        """Continue after the items of a page.
+
+        A scan shows the state at its revision. An answer to a watch moves
+        beyond what it shows only after `OVERLAP_S`.
+        """
+        if complete:
+            self.revision = page.revision
+            self._answers.clear()
+            return
+        self._answers.append((now, page.revision))
+        while self._answers and now - self._answers[0][0] >= OVERLAP_S:
+            self.revision = max(self.revision, self._answers.popleft()[1])
+        # A row without a readable revision would be returned for ever.
+        shown = [page.revision] if page.omitted else []
+        shown += [item.revision for item in page.items]
+        self.revision = max([self.revision, *shown])
 
 
 async def follow(store, prefix, on_page, on_fault, rng):
@@ -31,16 +69,18 @@
     rng : random.Random
         Adds jitter to the retries of several processes.
     """
-    revision = None
+    loop = asyncio.get_running_loop()
+    position = _Position()
     history_losses = 0
     while True:
+        revision = position.revision
         try:
             if revision is None:
                 page = await store.scan(prefix, stale_ok=False)
             else:
                 page = await store.watch(prefix, revision, WATCH_WAIT_S)
         except _interface.HistoryLostError as exc:
-            revision = None
+            position = _Position()
             history_losses += 1
             on_fault(str(exc))
             if history_losses > 1:
@@ -56,4 +96,4 @@
             history_losses = 0
         on_fault(None)
         on_page(page, revision is None)
-        revision = max(page.revision, revision or 0)
+        position.advance(page, revision is None, loop.time())
--- a/tests/adapter/fakes.py
+++ b/tests/adapter/fakes.py
@@ -40,6 +40,8 @@
         Paths of all requests.
     discarded_revision : int
         Watches after an earlier revision are answered with status 410.
+    hidden_after : int or None
+        Later changes are left out of the answers to watches.
     """
 
     fault: str = ''
@@ -49,6 +51,7 @@
     items: dict = attrs.field(factory=dict)
     changes: list = attrs.field(factory=list)
     discarded_revision: int = 0
+    hidden_after: int | None = None
     leases: dict = attrs.field(factory=dict)
     lease_count: int = 0
     calls: list = attrs.field(factory=list)
@@ -146,6 +149,12 @@
                 for change in self.changes
                 if change['rev'] > after and change['key'].startswith(prefix)
             ]
+            if self.hidden_after is not None:
+                matching = [
+                    change
+                    for change in matching
+                    if change['rev'] <= self.hidden_after
+                ]
             if matching or expired:
                 return Reply({'events': matching, 'at_rev': self.revision})
             try:
--- a/tests/adapter/test_config_propagation.py
+++ b/tests/adapter/test_config_propagation.py
@@ -44,3 +44,20 @@
             assert not virtual_loop.run(
                 lambda at=silence_s: play_silence(change_s, at)
             )
+
+
+class TestAnswersOfTheStore:
+    def test_change_that_an_answer_left_out(self):
+        """Guards against a watch that continues beyond an unseen change."""
+
+        async def play():
+            async with virtual_fleet.running_fleet(seed=1, size=1) as fleet:
+                fleet.store.hidden_after = fleet.store.revision
+                fleet.change()
+                # The watches expire meanwhile, with the newest revision.
+                await asyncio.sleep(2.0)
+                fleet.store.hidden_after = None
+                await asyncio.sleep(virtual_fleet.APPLY_S)
+                assert fleet.entries['e0'].version == fleet.version
+
+        virtual_loop.run(play)
