Send a version again until the other entry reports it

What callers would see: an entry without contact to the store serves an old version although it is connected to entries that have the newer one. Cause: a peer counted as knowing a version as soon as the update was handed to its connection. If it didn't take it (its handler failed, its build rejected the text), nothing was sent again on that connection. Class of fault: sent is taken for known. Fix: what a peer has is only what it reports itself, in its first message, its heartbeats every 0.5 s and its own updates. A version that it doesn't report is sent again after 1.25 s, with doubled pauses up to 20 s for a peer that can't take it.

--- a/azurepier/dispatch/_config.py
+++ b/azurepier/dispatch/_config.py
@@ -14,6 +14,11 @@
 
 MS_PER_S = 1000
 STORE = 'store'
+# Time after which a version is sent again to an entry that has not reported
+# it; the entry sends heartbeats every 0.5 s. It doubles with each repetition,
+# since a peer may be unable to decode the version (s).
+OFFER_TIMEOUT_S = 1.25
+OFFER_TIMEOUT_MAX_S = 20.0
 
 
 @attrs.frozen
@@ -53,7 +58,7 @@
     }
     out.append(effects.Log('config_applied', fields))
     for peer in node.peers.values():
-        out += offer(node, peer)
+        out += offer(node, peer, now)
     return out
 
 
@@ -70,19 +75,32 @@
     """Note the version of another entry, and offer it a newer one."""
     out = hear(node, version, peer.name, now)
     peer.config_version = max(peer.config_version, version)
-    return out + offer(node, peer)
+    return out + offer(node, peer, now)
 
 
-def offer(node, peer):
-    """Send the applied configuration to an entry that has an older one."""
+def offer(node, peer, now):
+    """Send the applied configuration to an entry that has an older one.
+
+    It is sent again until the entry reports that it has applied it.
+    """
     version = _state.config_version(node)
     if peer.config_version >= version:
         return []
-    peer.config_version = version
+    if peer.offered_version < version:
+        peer.offered_version, peer.offer_count = version, 0
+    elif now < peer.next_offer_at:
+        return []
+    timeout_s = OFFER_TIMEOUT_S * 2**peer.offer_count
+    peer.next_offer_at = now + min(timeout_s, OFFER_TIMEOUT_MAX_S)
+    peer.offer_count += 1
     update = messages.ConfigUpdate(
         version=version, base=0, body=node.routing.body
     )
-    fields = {'version': version, 'entry': peer.name}
+    fields = {
+        'version': version,
+        'entry': peer.name,
+        'attempt': peer.offer_count,
+    }
     return [
         effects.Log('config_offered', fields),
         effects.Send(peer.conn, update),
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -228,6 +228,12 @@
         Times of the last messages (s).
     sent_roster_version, roster_sent_at : int, float
         Version of the roster that was last sent, and the time (s).
+    config_version : int
+        Newest version of the configuration that it reports to have applied.
+    offered_version, offer_count : int
+        Newest version that was sent to it, and how often.
+    next_offer_at : float
+        Time from which that version is sent again (s).
     """
 
     name: str
@@ -238,6 +244,9 @@
     last_received_at: float
     dialed: bool = False
     config_version: int = -1
+    offered_version: int = -1
+    offer_count: int = 0
+    next_offer_at: float = 0.0
     last_sent_at: float = 0.0
     sent_roster_version: int = -1
     roster_sent_at: float = 0.0
