Pass a configuration again that a led entry failed to handle

The same cause in the processes of the led entries (azurepierd): the reader of the platform noted a configuration before it passed it on, and dropped the same text from then on, so that a version whose handler failed once was never in force. The new test fails before ([] in place of one event). Now it is noted once handled, and the next read, 2 s later, passes it again. Their exchange between processes asks for a version until it is adopted, and is not affected.

--- a/azurepier/daemon/_platform.py
+++ b/azurepier/daemon/_platform.py
@@ -35,14 +35,15 @@
     ----------
     client : azurepier.etcd.Client
     feed : callable
-        Called with the events `MembersSeen` and `ConfigSeen`.
+        Called with the events `MembersSeen` and `ConfigSeen`; returns
+        whether the node has handled them.
     rng : random.Random
         For jitter.
 
     Attributes
     ----------
     config_body : bytes or None
-        The configuration that was last passed on.
+        The configuration that the node has handled last.
     entries_changed : asyncio.Event
         Set when the watch has seen a change of the entries.
     read_task : asyncio.Task or None
@@ -58,10 +59,14 @@
 
 
 def feed_config(reader, body):
-    """Pass a configuration to the node if it has changed."""
-    if body is not None and body != reader.config_body:
+    """Pass a configuration to the node if it has changed.
+
+    One that the node failed to handle is passed again by the next read.
+    """
+    if body is None or body == reader.config_body:
+        return
+    if reader.feed(events.ConfigSeen(body)):
         reader.config_body = body
-        reader.feed(events.ConfigSeen(body))
 
 
 async def read(reader):
