Read the store's lists beside a row that can't be parsed

What callers saw elsewhere: entries that read a list ended again and again, or stopped following it. Here, one row that is nested beyond the parser's limit, holds a number out of range, a lone surrogate or bytes that are no text made the whole answer an error: a new configuration or an evacuation beside it was never applied, and entries weren't found. Cause: an answer was parsed as a whole. An answer that is broken outside of its rows is an error as before.

--- /dev/null
+++ b/tests/adapter/test_odd_rows.py
@@ -0,0 +1,103 @@
+"""Tests of lists in which another program has left an odd row."""
+
+from adapter import _entry
+from adapter import _json
+from adapter import _operator
+from adapter import _store
+import orjson
+import pytest
+
+from test_operator import following as following_operator
+from test_store import run_in_loop
+from test_store import serving_store
+from test_store import until
+
+import fakes
+
+DEEP = b'[' * 2000 + b']' * 2000
+# Texts in place of a row's field.
+ODD_TEXTS = {
+    'nested': DEEP,
+    'nested objects': b'{"a":' * 2000 + b'1' + b'}' * 2000,
+    'number too large': b'1' + b'0' * 400,
+    'exponent too large': b'1e400',
+    'digits': b'9' * 5000,
+    'surrogate': b'"\\ud800"',
+    'no text': b'"\xff\xfe"',
+    'brackets in a string': b'"\\"]}],[{" , "u": ' + DEEP,
+}
+odd_texts = pytest.mark.parametrize(
+    'text', list(ODD_TEXTS.values()), ids=list(ODD_TEXTS)
+)
+
+
+class TestLoads:
+    @odd_texts
+    def test_neighbours_are_kept(self, text):
+        """Guards against a row that takes the others with it."""
+        body = b'{"x": "[", "a": [{"n": 1}, {"n": %b}, [2], "3,]"], "b": 7}'
+        value = _json.loads(body % text)
+        assert value == {'x': '[', 'a': [{'n': 1}, None, [2], '3,]'], 'b': 7}
+
+    @pytest.mark.parametrize(
+        'text', [b'', b'{', b'[1', b'{"a": 1e400}', b'{"a": [1}', b'\xff']
+    )
+    def test_other_texts_are_rejected(self, text):
+        """Guards against a value that is made up from a broken text."""
+        with pytest.raises(ValueError):
+            _json.loads(text)
+
+
+class OddStore(fakes.FakeStore):
+    """Store whose lists hold an odd row before the others.
+
+    `odd_field` is the JSON text of a field of that row, if set.
+    """
+
+    odd_field = None
+
+    async def handle(self, req):
+        """Answer a request."""
+        reply = await super().handle(req)
+        for key in ('items', 'events'):
+            rows = isinstance(reply.value, dict) and reply.value.get(key)
+            if self.odd_field is not None and rows:
+                row = b'{"key": "op/odd", "rev": 1, "value": %b}'
+                body = orjson.dumps({**reply.value, key: [None, *rows]})
+                reply.value = body.replace(b'null', row % self.odd_field, 1)
+        return reply
+
+
+class TestStore:
+    @odd_texts
+    @run_in_loop
+    async def test_change_beside_an_odd_row(self, text):
+        """Guards against a change that is never seen for another row."""
+        async with serving_store(OddStore) as (fake_store, _, client):
+            prefix = _store.EVACUATIONS_PREFIX
+            fake_store.odd_field = text
+            fake_store.put(prefix + 'a', b'{}')
+            async with following_operator(client) as shell:
+                await until(lambda: shell.domains() == {'a'})
+                fake_store.put(prefix + 'b', b'{}')
+                await until(lambda: shell.domains() == {'a', 'b'})
+
+    @odd_texts
+    @run_in_loop
+    async def test_entries_beside_an_odd_row(self, text):
+        """Guards against entries that aren't found for another row."""
+        async with serving_store(OddStore) as (fake_store, _, client):
+            fake_store.odd_field = text
+            fake_store.put('azurepier/entries/e/1', b'10.0.0.1:7000 a')
+            entries = await _entry.read_entries(client)
+            assert entries == [('10.0.0.1:7000', 'a')]
+
+    @odd_texts
+    @run_in_loop
+    async def test_odd_row_is_no_reason_to_take_back_a_domain(self, text):
+        """Guards against a domain that returns with an unreadable row."""
+        async with serving_store(OddStore) as (fake_store, _, client):
+            fake_store.odd_field = text
+            fake_store.put(_store.EVACUATIONS_PREFIX + 'a', b'{}')
+            with pytest.raises(_store.store.StoreError):
+                await _operator.read_evacuations(client)
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -27,9 +27,9 @@
 
 
 @contextlib.asynccontextmanager
-async def serving_store():
+async def serving_store(store_class=fakes.FakeStore):
     """Yield a fake store, its server and a client."""
-    fake_store = fakes.FakeStore()
+    fake_store = store_class()
     server = await _server.start(fake_store.handle)
     pool = _process.make_http_pool(
         f'127.0.0.1:{server.port}', _store.MAX_ANSWER_BYTES
