Keep a worker's list of runs beside an odd row

What callers would see: the jobs of a worker are lost and the worker gets none, while one row of its list is nested too deeply, has a number out of range or a field of another type. Cause: such a row made the whole list a failed request. After 0.4 s the worker counted as unreachable, then its lease as over. Fix: an odd row is left out and counted (list_rows_omitted); ends and runs in the other rows are processed. A run that is missing in such a list is neither given up nor started again, since it may be the row that was left out. A progress that is no percentage counts as unknown, so that the run isn't taken for stalled. Numbers above 2^31 - 1 are odd: one of them would acknowledge all later ends.

--- a/azurepier/runner/_lists.py
+++ b/azurepier/runner/_lists.py
@@ -55,13 +55,23 @@
     for row in event.running:
         listed[row.task] = row
         out += _on_running(node, row, now)
+    if event.omitted:
+        # A run that seems to be missing may be one of the omitted rows.
+        node.count('list_rows_omitted', event.omitted)
+    else:
+        out += _check_missing(node, listed, event, now)
+    return out + (_request_next_list(node, now) if is_latest else [])
+
+
+def _check_missing(node, listed, event, now):
+    out = []
     for run in list(node.runs.values()):
         out += _check_listed(node, run, listed, event, now)
     for task, number in list(node.orphaned_runs.items()):
         if task not in listed:
             del node.orphaned_runs[task]
             node.timers.cancel(('stop', task, number))
-    return out + (_request_next_list(node, now) if is_latest else [])
+    return out
 
 
 def _request_next_list(node, now):
@@ -98,7 +108,9 @@
 def _on_running(node, row, now):
     run = node.runs.get(row.task)
     if run is not None and run.number == row.number:
-        out = _progress.on_listed(node, run, row.percent, now)
+        out = []
+        if row.percent is not None:
+            out = _progress.on_listed(node, run, row.percent, now)
         if run.phase is _state.Phase.UNSURE:
             return out + _requests.confirm_started(node, run, None, now)
         return out
--- a/azurepier/runner/_model.py
+++ b/azurepier/runner/_model.py
@@ -111,6 +111,8 @@
     ended : tuple of EndedRow
     number : int
         Number of the request.
+    omitted : int
+        Number of rows that could not be read; each may be any run.
     """
 
     requested_at: float
@@ -119,6 +121,7 @@
     running: tuple
     ended: tuple
     number: int
+    omitted: int = 0
 
 
 @attrs.frozen
--- a/tests/adapter/test_odd_rows.py
+++ b/tests/adapter/test_odd_rows.py
@@ -4,9 +4,11 @@
 from adapter import _json
 from adapter import _operator
 from adapter import _store
+from adapter import _workers
 import orjson
 import pytest
 
+from azurepier import runner
 from test_operator import following as following_operator
 from test_store import run_in_loop
 from test_store import serving_store
@@ -101,3 +103,71 @@
             fake_store.put(_store.EVACUATIONS_PREFIX + 'a', b'{}')
             with pytest.raises(_store.store.StoreError):
                 await _operator.read_evacuations(client)
+
+
+class TestWorkerLists:
+    """A worker's list of runs with an odd row between two others."""
+
+    RUNNING = (runner.RunningRow('a', 1, 50), runner.RunningRow('b', 2, 60))
+    ENDED = (
+        runner.EndedRow(1, 'c', 3, runner.RunOutcome.DONE),
+        runner.EndedRow(3, 'd', 4, runner.RunOutcome.DONE),
+    )
+
+    def decode(self, running=b'', ended=b''):
+        body = (
+            b'{"clock_ms": 5, "born": 1,'
+            b' "running": [["a", 1, "", 50, 0], %b ["b", 2, "", 60, 0]],'
+            b' "ended": [[1, "c", 3, "done", ""], %b [3, "d", 4, "done", ""]]}'
+        )
+        return _workers._decode_list(200, body % (running, ended), 1.0, 7)
+
+    @pytest.mark.parametrize(
+        'row',
+        [
+            b'null',
+            b'7',
+            b'{}',
+            b'[]',
+            b'["x"]',
+            b'[7, 1, "", 50, 0]',
+            b'["x", null, "", 50, 0]',
+            b'["x", true, "", 50, 0]',
+            b'["x", -1, "", 50, 0]',
+            b'["x", 18446744073709551616, "", 50, 0]',
+            *[b'["x", %b, "", 50, 0]' % each for each in ODD_TEXTS.values()],
+        ],
+    )
+    def test_odd_running_row(self, row):
+        """Guards against a worker that is lost for one row of its list."""
+        decoded = self.decode(running=row + b',')
+        assert decoded.running == self.RUNNING
+        assert decoded.ended == self.ENDED
+        assert decoded.omitted == 1
+
+    @pytest.mark.parametrize(
+        'row',
+        [
+            b'null',
+            b'[2, "x"]',
+            b'["x", "x", 1, "done", ""]',
+            b'[2, "x", 1, ["done"], ""]',
+            b'[9007199254740993, "x", 1, "done", ""]',
+            *[b'[2, "x", 1, %b, ""]' % each for each in (DEEP, b'1e400')],
+        ],
+    )
+    def test_odd_ended_row(self, row):
+        """Guards against ends that are lost for one row of the list."""
+        decoded = self.decode(ended=row + b',')
+        assert decoded.running == self.RUNNING
+        assert decoded.ended == self.ENDED
+        assert decoded.omitted == 1
+
+    @pytest.mark.parametrize(
+        'percent', [b'"x"', b'null', b'1e300', b'-5', b'[[]]', b'101']
+    )
+    def test_odd_percent(self, percent):
+        """Guards against a run that is lost for a figure beside it."""
+        decoded = self.decode(running=b'["x", 1, "", %b, 0],' % percent)
+        assert decoded.running[1] == runner.RunningRow('x', 1, None)
+        assert decoded.omitted == 0
