Read a worker's report beside an odd label

A label that is no string was turned into one, so that a worker seemed to have labels which it doesn't state; a nested one raised RecursionError, which was answered with 500 in place of 400. Now labels that are no strings are left out, the others and the worker are kept, and a state of another type is described by its type. A report with any other odd field is rejected as before, and what the worker said before holds (tested).

Tests besides, without a change of behaviour: an odd route. The configuration is one document that holds as a whole or not at all, since without one route its callers would get 404; the previous version stays in force, the rejection is logged and counted, and the next version is applied (24 cases).

--- a/tests/adapter/test_odd_rows.py
+++ b/tests/adapter/test_odd_rows.py
@@ -1,5 +1,7 @@
 """Tests of lists in which another program has left an odd row."""
 
+import asyncio
+
 from adapter import _entry
 from adapter import _json
 from adapter import _operator
@@ -8,13 +10,16 @@
 import orjson
 import pytest
 
+from azurepier.kernel import InvalidInputError
 from azurepier import runner
+from azurepier.testing import virtual_loop
 from test_operator import following as following_operator
 from test_store import run_in_loop
 from test_store import serving_store
 from test_store import until
 
 import fakes
+import virtual_fleet
 
 DEEP = b'[' * 2000 + b']' * 2000
 # Texts in place of a row's field.
@@ -171,3 +176,64 @@
         decoded = self.decode(running=b'["x", 1, "", %b, 0],' % percent)
         assert decoded.running[1] == runner.RunningRow('x', 1, None)
         assert decoded.omitted == 0
+
+
+class TestConfiguration:
+    @odd_texts
+    @pytest.mark.parametrize('field', [b'stretch', b'hostname', b'unknown'])
+    def test_odd_route(self, text, field):
+        """Guards against a version that is in force without one route.
+
+        The configuration is one document, which holds as a whole or not at
+        all: without the odd route, its callers would get 404.
+        """
+
+        async def play():
+            async with virtual_fleet.running_fleet(seed=1, size=1) as fleet:
+                entry = fleet.entries['e0']
+                route = b'{"name":"r","hostname":"h","path_prefix":"/a/"'
+                body = (
+                    b'{"version":90,"routes":[%b,"service":"p"},%b,"%b":%b}]}'
+                )
+                fleet.store.put(
+                    _store.CONFIG_KEY, body % (route, route, field, text)
+                )
+                await asyncio.sleep(virtual_fleet.APPLY_S)
+                assert entry.version == fleet.version
+                assert entry.shell.node.counters['configs_rejected'] == 1
+                fleet.change()
+                await asyncio.sleep(virtual_fleet.APPLY_S)
+                assert entry.version == fleet.version
+
+        virtual_loop.run(play)
+
+
+class TestReports:
+    REPORT = (
+        b'{"service": "p", "state": "ready", "sequence": 1,'
+        b' "capacity": {"cpu": 1, "mem_mb": 1, "gpu": 0}, "labels": [%b]}'
+    )
+
+    @pytest.mark.parametrize(
+        'label', [b'7', b'null', b'{}', b'[' * 900 + b']' * 900]
+    )
+    def test_odd_label(self, label):
+        """Guards against a worker that is lost for one of its labels."""
+        body = self.REPORT % (b'"a", %b, "b"' % label)
+        assert _workers.decode_report('i', body).labels == ('a', 'b')
+
+    @pytest.mark.parametrize('text', [DEEP, b'1e400', b'"\\ud800"', b'null'])
+    @pytest.mark.parametrize(
+        'field', [b'state', b'sequence', b'service', b'capacity', b'born']
+    )
+    def test_odd_field(self, field, text):
+        """Guards against another exception than that of a bad report."""
+        odd = b', "%b": %b}' % (field, text)
+        with pytest.raises(InvalidInputError):
+            _workers.decode_report('i', (self.REPORT % b'')[:-1] + odd)
+
+    def test_nested_state(self):
+        """Guards against an error while a nested value is described."""
+        odd = b', "state": %b}' % (b'[' * 1000 + b']' * 1000)
+        with pytest.raises(InvalidInputError, match='state'):
+            _workers.decode_report('i', (self.REPORT % b'')[:-1] + odd)
