--- a/tests/adapter/test_odd_rows.py
+++ b/tests/adapter/test_odd_rows.py
@@ -237,3 +237,27 @@
         odd = b', "state": %b}' % (b'[' * 1000 + b']' * 1000)
         with pytest.raises(InvalidInputError, match='state'):
             _workers.decode_report('i', (self.REPORT % b'')[:-1] + odd)
+
+
+class TestRegistrations:
+    @pytest.mark.parametrize(
+        'value',
+        [
+            b'10.0.0.9:70000 a',
+            b'10.0.0.9:' + b'9' * 5000 + b' a',
+            b'10.0.0.9 a',
+            DEEP,
+            b'\xff:1 a',
+            b'x' * 100_000 + b':7000 a',
+            b'10.0.0.9:7000 ' + b'x' * 100_000,
+        ],
+    )
+    @run_in_loop
+    async def test_odd_registration(self, value):
+        """Guards against an address that fills the lists of all entries."""
+        async with serving_store() as (fake_store, _, client):
+            fake_store.put('azurepier/entries/a/1', b'10.0.0.1:7000 a')
+            fake_store.put('azurepier/entries/b/1', value)
+            fake_store.put('azurepier/entries/c/1', b'10.0.0.3:7000 a')
+            entries = await _entry.read_entries(client)
+            assert entries == [('10.0.0.1:7000', 'a'), ('10.0.0.3:7000', 'a')]
