Start with settings in which one seed is odd

One seed that is no address (a number, a nested list, no port) made the whole settings file malformed, so that the process ended at each start, or ignored a reload. Now odd seeds are left out, the others are used, and the two other cases are errors of the settings.

--- a/tests/adapter/test_odd_rows.py
+++ b/tests/adapter/test_odd_rows.py
@@ -5,12 +5,14 @@
 from adapter import _entry
 from adapter import _json
 from adapter import _operator
+from adapter import _settings
 from adapter import _store
 from adapter import _workers
 import orjson
 import pytest
 
 from azurepier.kernel import InvalidInputError
+from azurepier.kernel import SettingsError
 from azurepier import runner
 from azurepier.testing import virtual_loop
 from test_operator import following as following_operator
@@ -261,3 +263,37 @@
             fake_store.put('azurepier/entries/c/1', b'10.0.0.3:7000 a')
             entries = await _entry.read_entries(client)
             assert entries == [('10.0.0.1:7000', 'a'), ('10.0.0.3:7000', 'a')]
+
+
+SETTINGS = """
+node_name = "e"
+zone = "a"
+ip = "10.0.0.1"
+port_range = [7000, 7010]
+seeds = [%s]
+[platform]
+address = "10.0.0.9:1"
+[bounds]
+grace_s = 6
+"""
+
+
+class TestSettings:
+    @pytest.mark.parametrize('seed', ['7', '[]', '{}', '"x"', '""', '1e400'])
+    def test_odd_seed(self, seed):
+        """Guards against a process that doesn't start for one seed."""
+        text = SETTINGS % f'"10.0.0.1:7000", {seed}, "10.0.0.3:7000"'
+        decoded = _settings.decode(text)
+        assert decoded.seed_hosts == ('10.0.0.1', '10.0.0.3')
+
+    def test_nested_settings(self):
+        """Guards against a reload that ends the task that watches the file."""
+        with pytest.raises(SettingsError):
+            _settings.decode(SETTINGS % ('[' * 5000 + ']' * 5000))
+
+    @pytest.mark.parametrize('port', ['70000', '-1', '"x"', '1e400', '[]'])
+    def test_port_out_of_range(self, port):
+        """Guards against a port that is found wrong only when it is opened."""
+        text = SETTINGS.replace('[7000,', f'[{port},') % ''
+        with pytest.raises(SettingsError):
+            _settings.decode(text)
