Leave out records of entries that can't be passed on

What callers would see: entries and endpoint processes (azurepierd) lose their connections to each other again and again, while one odd record lies among those of the entries. Cause: a record was taken as it was if its fields had the right types. A name with a lone surrogate can't be encoded, and all members travel in one message, so that sending it ended the connection; a port out of range or a host of 100,000 characters was dialled and passed on.

--- a/azurepier/etcd/_records.py
+++ b/azurepier/etcd/_records.py
@@ -5,6 +5,7 @@
 import attrs
 
 from azurepier import kernel
+from azurepier import wire
 
 _ENTRY_FIELDS = {
     'name': str,
@@ -14,6 +15,9 @@
     'domain': str,
     'draining': bool,
 }
+_REQUIRED_TEXTS = ('name', 'incarnation', 'address')
+# As in the first message of a connection.
+_MAX_TEXT_CHARS = 256
 # Limits of a history record, which is only displayed and must stay far below
 # the size limit of a value. The first version of a configuration with 780
 # customers has about as many lines as customers.
@@ -66,9 +70,22 @@
         for name, type_ in _ENTRY_FIELDS.items()
     ):
         return None
-    return kernel.messages.EntryInfo(
-        **{name: value[name] for name in _ENTRY_FIELDS}
-    )
+    fields = {name: value[name] for name in _ENTRY_FIELDS}
+    return kernel.messages.EntryInfo(**fields) if _is_valid(fields) else None
+
+
+def _is_valid(fields):
+    """Return whether other processes can use and pass on a record."""
+    texts = [text for text in fields.values() if isinstance(text, str)]
+    if not all(map(fields.get, _REQUIRED_TEXTS)):
+        return False
+    if max(map(len, texts)) > _MAX_TEXT_CHARS:
+        return False
+    try:
+        wire.split_address(fields['address'])
+    except ValueError:
+        return False
+    return all(not text or text.isprintable() for text in texts)
 
 
 def history_to_json(entry):
