Read the platform beside a key or a history record that is odd

Now the key is skipped, the record counts as malformed, and a number out of range in an answer is an error of the platform like others.

--- a/azurepier/etcd/_messages.py
+++ b/azurepier/etcd/_messages.py
@@ -29,17 +29,28 @@
     """Return ``parse(answer)``; raise PlatformError if it is malformed."""
     try:
         return parse(answer)
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        OverflowError,
+        AttributeError,
+    ) as exc:
         text = f'{path}: malformed answer: {exc!r}'
         raise kernel.PlatformError(text) from exc
 
 
 def _parse_kv(kv):
-    return KeyValue(
-        _keys.decode(kv['key']).decode(),
-        _keys.decode(kv.get('value', '')),
-        int(kv['mod_revision']),
-    )
+    """Return a key with its value, None if the key is no text.
+
+    This system writes no such keys.
+    """
+    try:
+        key = _keys.decode(kv['key']).decode()
+    except UnicodeDecodeError:
+        return None
+    value = _keys.decode(kv.get('value', ''))
+    return KeyValue(key, value, int(kv['mod_revision']))
 
 
 @attrs.frozen
@@ -60,8 +71,9 @@
 def parse_range(answer):
     """Return the `RangeResult` in an answer to a range request."""
     header = answer['header']
+    kvs = map(_parse_kv, answer.get('kvs', ()))
     return RangeResult(
-        [_parse_kv(kv) for kv in answer.get('kvs', ())],
+        [kv for kv in kvs if kv is not None],
         int(answer.get('count', 0)),
         str(header.get('cluster_id', '')),
         int(header.get('revision', 0)),
@@ -100,6 +112,8 @@
         changes.append(_records.Change('', None, revision))
     for event in result.get('events', ()):
         kv = _parse_kv(event['kv'])
+        if kv is None:
+            continue
         value = None if event.get('type') == 'DELETE' else kv.value
         changes.append(_records.Change(kv.key, value, kv.revision))
     return changes
--- a/azurepier/etcd/_records.py
+++ b/azurepier/etcd/_records.py
@@ -108,5 +108,5 @@
             written_at=float(value['written_at']),
             changes=tuple(str(line) for line in value['changes']),
         )
-    except (ValueError, KeyError, TypeError, RecursionError):
+    except (ValueError, KeyError, TypeError, OverflowError, RecursionError):
         return None
--- a/azurepier/etcd/tests/test_odd_records.py
+++ b/azurepier/etcd/tests/test_odd_records.py
@@ -2,6 +2,8 @@
 
 import json
 
+from azurepier.etcd import _keys
+from azurepier.etcd import _messages
 from azurepier.etcd import _records
 from azurepier.kernel import messages
 from azurepier import wire
@@ -56,3 +58,51 @@
     def test_odd_text(self, body):
         """Guards against another exception for a text."""
         assert _records.entry_info_from_json(body.encode()) is None
+
+
+class TestHistory:
+    RECORD = {
+        'version': 1,
+        'edit_id': 'x',
+        'author': 'a',
+        'written_at': 1.0,
+        'changes': ['c'],
+    }
+
+    @pytest.mark.parametrize(
+        ('field', 'text'),
+        [
+            ('version', '1e400'),
+            ('version', DEEP),
+            ('written_at', '1' + '0' * 400),
+            ('written_at', '9' * 5000),
+            ('changes', '7'),
+        ],
+    )
+    def test_odd_record(self, field, text):
+        """Guards against a history that can't be shown for one record."""
+        body = json.dumps({**self.RECORD, field: None})
+        body = body.replace(f'"{field}": null', f'"{field}": {text}')
+        assert _records.history_from_json(body.encode()) is None
+
+
+class TestRanges:
+    def test_key_that_is_no_text(self):
+        """Guards against entries that are hidden by the key of another."""
+        kvs = [
+            {'key': _keys.encode(key), 'value': '', 'mod_revision': '3'}
+            for key in ('a', 'b')
+        ]
+        odd = {'key': '/w==', 'value': '', 'mod_revision': '3'}
+        answer = {'header': {'revision': '9'}, 'kvs': [kvs[0], odd, kvs[1]]}
+        parsed = _messages.parse_answer('/', _messages.parse_range, answer)
+        assert [kv.key for kv in parsed.kvs] == ['a', 'b']
+
+    def test_change_of_a_key_that_is_no_text(self):
+        """Guards against a watch that ends for the key of another."""
+        event = {
+            'kv': {'key': _keys.encode('a'), 'value': '', 'mod_revision': '3'}
+        }
+        odd = {'kv': {'key': '/w==', 'value': '', 'mod_revision': '3'}}
+        changes = _messages.parse_changes({'events': [odd, event]})
+        assert [change.key for change in changes] == ['a']
