Keep the shells of entries that start at the same time apart

Traced: two entries that were started together exchanged their shells in the harness, so that a killed process was judged.

--- a/tests/adapter/virtual_fleet.py
+++ b/tests/adapter/virtual_fleet.py
@@ -50,8 +50,7 @@
 
     name: str
     host: str
-    shell: object = None
-    task: object = None
+    shell: object
 
     @property
     def version(self):
@@ -66,6 +65,8 @@
 
     Attributes
     ----------
+    shells : dict of str to Shell
+        The latest one that was made on each host.
     store_faults : dict of str to str
         What the store does to the requests of a host: 'busy', 'many', 'reset'
         or 'silent'.
@@ -85,6 +86,7 @@
     rng: random.Random
     store: object = attrs.field(factory=fakes.FakeStore)
     entries: dict = attrs.field(factory=dict)
+    shells: dict = attrs.field(factory=dict)
     store_faults: dict = attrs.field(factory=dict)
     calm_since: dict = attrs.field(factory=dict)
     acknowledged: list = attrs.field(factory=list)
@@ -157,23 +159,13 @@
                 )
             }
         )
-        entry = Entry(name, host)
-        make_shell = _process.make_shell
-
-        def keep_shell(module, node):
-            entry.shell = make_shell(module, node)
-            return entry.shell
-
-        _process.make_shell = keep_shell
         rng = random.Random(self.rng.random())
-        entry.task = self.loop.create_task(
-            _entry.run_entry(settings, sockets, rng)
-        )
-        while entry.shell is None:
-            await asyncio.sleep(0)
-        _process.make_shell = make_shell
+        self.shells.pop(host, None)
+        self.loop.create_task(_entry.run_entry(settings, sockets, rng))
         virtual_loop.HOST.reset(context_host)
-        self.entries[name] = entry
+        while host not in self.shells:
+            await asyncio.sleep(0)
+        self.entries[name] = Entry(name, host, self.shells[host])
 
     def kill(self, name):
         """Kill an entry."""
@@ -230,19 +222,37 @@
             )
 
 
+@contextlib.contextmanager
+def _keeping_shells(fleet):
+    """Note the shells of all processes that start meanwhile."""
+    make_shell = _process.make_shell
+
+    def keep_shell(module, node):
+        shell = make_shell(module, node)
+        fleet.shells[virtual_loop.HOST.get()] = shell
+        return shell
+
+    _process.make_shell = keep_shell
+    try:
+        yield
+    finally:
+        _process.make_shell = make_shell
+
+
 @contextlib.asynccontextmanager
 async def running_fleet(seed, size):
     """Yield a fleet that has been running for some seconds."""
     loop = asyncio.get_running_loop()
     fleet = Fleet(loop, random.Random(seed))
-    fleet.change()
-    for index in range(size):
-        await fleet.start_entry(f'e{index}')
-    await asyncio.sleep(5.0)
-    judge = loop.create_task(fleet.judge())
-    try:
-        yield fleet
-    finally:
-        judge.cancel()
-        for name in list(fleet.entries):
-            fleet.kill(name)
+    with _keeping_shells(fleet):
+        fleet.change()
+        for index in range(size):
+            await fleet.start_entry(f'e{index}')
+        await asyncio.sleep(5.0)
+        judge = loop.create_task(fleet.judge())
+        try:
+            yield fleet
+        finally:
+            judge.cancel()
+            for name in list(fleet.entries):
+                fleet.kill(name)
