Bound the exponents of the pauses between attempts

Found by reading the new code: the pause before a version is sent again, and before items are read again, was computed as a power of two of the number of attempts before its upper bound applied. After 1,024 attempts, an hour or more, that is no number any more: the heartbeat of a peer that can't take a version would have failed, and the reader of the store. Both new tests fail before (OverflowError). Now the pause itself is doubled up to its bound.

--- a/azurepier/dispatch/_config.py
+++ b/azurepier/dispatch/_config.py
@@ -88,10 +88,11 @@
         return []
     if peer.offered_version < version:
         peer.offered_version, peer.offer_count = version, 0
+        peer.offer_timeout_s = OFFER_TIMEOUT_S
     elif now < peer.next_offer_at:
         return []
-    timeout_s = OFFER_TIMEOUT_S * 2**peer.offer_count
-    peer.next_offer_at = now + min(timeout_s, OFFER_TIMEOUT_MAX_S)
+    peer.next_offer_at = now + peer.offer_timeout_s
+    peer.offer_timeout_s = min(2 * peer.offer_timeout_s, OFFER_TIMEOUT_MAX_S)
     peer.offer_count += 1
     update = messages.ConfigUpdate(
         version=version, base=0, body=node.routing.body
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -232,8 +232,9 @@
         Newest version of the configuration that it reports to have applied.
     offered_version, offer_count : int
         Newest version that was sent to it, and how often.
-    next_offer_at : float
-        Time from which that version is sent again (s).
+    next_offer_at, offer_timeout_s : float
+        Time from which that version is sent again, and the pause after that
+        (s).
     """
 
     name: str
@@ -247,6 +248,7 @@
     offered_version: int = -1
     offer_count: int = 0
     next_offer_at: float = 0.0
+    offer_timeout_s: float = 0.0
     last_sent_at: float = 0.0
     sent_roster_version: int = -1
     roster_sent_at: float = 0.0
--- a/azurepier/dispatch/tests/test_config.py
+++ b/azurepier/dispatch/tests/test_config.py
@@ -93,6 +93,16 @@
         # heartbeat each.
         assert 4 <= max(decoded.values()) <= 7
 
+    def test_pause_after_many_attempts(self):
+        """Guards against a pause that grows until it is no number."""
+        fleet, _ = make_fleet(lambda process, number: False)
+        load(fleet, 'e0')
+        node = fleet.entries['e0'].node
+        (peer, *_), now = node.peers.values(), fleet.driver.now
+        for _ in range(2000):
+            now += _config.OFFER_TIMEOUT_MAX_S
+            assert _config.offer(node, peer, now)
+
     def test_next_version_is_sent_at_once(self):
         """Guards against a pause that applies to a newer version."""
         fleet, _ = make_fleet(lambda process, number: number > 3)
--- a/azurepier/store/_follow.py
+++ b/azurepier/store/_follow.py
@@ -75,7 +75,8 @@
     """
     loop = asyncio.get_running_loop()
     position = _Position()
-    history_losses = unapplied = 0
+    history_losses = 0
+    reapply_s = RETRY_MIN_S
     while True:
         revision = position.revision
         try:
@@ -100,10 +101,9 @@
             history_losses = 0
         on_fault(None)
         if on_page(page, revision is None):
-            unapplied = 0
+            reapply_s = RETRY_MIN_S
             position.advance(page, revision is None, loop.time())
             continue
         position = _Position()
-        unapplied += 1
-        delay_s = min(RETRY_MIN_S * 2**unapplied, REAPPLY_MAX_S)
-        await asyncio.sleep(delay_s * rng.uniform(0.5, 1.0))
+        await asyncio.sleep(reapply_s * rng.uniform(0.5, 1.0))
+        reapply_s = min(2 * reapply_s, REAPPLY_MAX_S)
--- a/tests/adapter/test_config_propagation.py
+++ b/tests/adapter/test_config_propagation.py
@@ -1,12 +1,15 @@
 """Tests of the way of a configuration to all entries, on virtual time."""
 
 import asyncio
+import random
 
 from adapter import _store
 import pytest
 
 from azurepier.dispatch import _config
 from azurepier.dispatch import _node
+from azurepier import store
+from azurepier.store import _follow
 from azurepier.testing import virtual_loop
 
 import virtual_fleet
@@ -95,16 +98,43 @@
         virtual_loop.run(play)
 
     def test_handler_that_always_fails(self, monkeypatch):
-        """Guards against a store that is read without pause."""
+        """Guards against a store that is read without pause, or no more."""
+
+        def fail(node, event, now):
+            raise RuntimeError('the handler fails')
 
         async def play():
             async with virtual_fleet.running_fleet(seed=1, size=1) as fleet:
-                fail_handler(monkeypatch, _config.RoutingLoaded, 1000)
+                entry = fleet.entries['e0']
+                monkeypatch.setitem(_node._EVENTS, _config.RoutingLoaded, fail)
                 before = len(fleet.store.calls)
                 fleet.change()
                 await asyncio.sleep(60.0)
                 # Of these, 30 are renewals and 12 reads of the entries.
                 assert len(fleet.store.calls) - before < 80
+                monkeypatch.undo()
+                await asyncio.sleep(_follow.REAPPLY_MAX_S)
+                assert entry.version == fleet.version
+
+        virtual_loop.run(play)
+
+    def test_pause_after_many_attempts(self):
+        """Guards against a pause that grows until it is no number."""
+
+        class Store:
+            async def scan(self, prefix, stale_ok):
+                return store.Page((), 1)
+
+        async def play():
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(3 * 3600.0):
+                    await store.follow(
+                        Store(),
+                        'op/',
+                        lambda page, complete: False,
+                        lambda reason: None,
+                        random.Random(1),
+                    )
 
         virtual_loop.run(play)
 
