Call rows that can't be read malformed, and name the faults alike

Reading the diff: the tests spoke of odd rows, where the readers count malformed ones; the fleet on virtual time had its own names for the faults of the store. Names only; the random sequences of the soak stay.

--- a/azurepier/dispatch/tests/test_list_order.py
+++ b/azurepier/dispatch/tests/test_list_order.py
@@ -61,7 +61,7 @@
         assert node.runs == {}
 
     def test_unknown_progress(self):
-        """Guards against a run that counts as stalled for an odd figure."""
+        """Guards against a run that counts as stalled without a progress."""
         fleet, node, task = start_task(1.0)
         fleet.run_for(0.2)
         row = runner.RunningRow(task, 1, None)
--- a/azurepier/etcd/tests/test_odd_records.py
+++ b/azurepier/etcd/tests/test_malformed_records.py
@@ -46,7 +46,7 @@
             {'name': [['x']]},
         ],
     )
-    def test_odd_record(self, fields):
+    def test_malformed_record(self, fields):
         """Guards against a record that ends the connections of all entries.
 
         The members are sent in one message, which can't be encoded if a name
@@ -55,7 +55,7 @@
         assert decode_info(**fields) is None
 
     @pytest.mark.parametrize('body', [DEEP, '{"name": %s}' % DEEP, '1e400'])
-    def test_odd_text(self, body):
+    def test_malformed_text(self, body):
         """Guards against another exception for a text."""
         assert _records.entry_info_from_json(body.encode()) is None
 
@@ -79,7 +79,7 @@
             ('changes', '7'),
         ],
     )
-    def test_odd_record(self, field, text):
+    def test_malformed_record(self, field, text):
         """Guards against a history that can't be shown for one record."""
         body = json.dumps({**self.RECORD, field: None})
         body = body.replace(f'"{field}": null', f'"{field}": {text}')
@@ -93,8 +93,8 @@
             {'key': _keys.encode(key), 'value': '', 'mod_revision': '3'}
             for key in ('a', 'b')
         ]
-        odd = {'key': '/w==', 'value': '', 'mod_revision': '3'}
-        answer = {'header': {'revision': '9'}, 'kvs': [kvs[0], odd, kvs[1]]}
+        other = {'key': '/w==', 'value': '', 'mod_revision': '3'}
+        answer = {'header': {'revision': '9'}, 'kvs': [kvs[0], other, kvs[1]]}
         parsed = _messages.parse_answer('/', _messages.parse_range, answer)
         assert [kv.key for kv in parsed.kvs] == ['a', 'b']
 
@@ -103,6 +103,6 @@
         event = {
             'kv': {'key': _keys.encode('a'), 'value': '', 'mod_revision': '3'}
         }
-        odd = {'kv': {'key': '/w==', 'value': '', 'mod_revision': '3'}}
-        changes = _messages.parse_changes({'events': [odd, event]})
+        other = {'kv': {'key': '/w==', 'value': '', 'mod_revision': '3'}}
+        changes = _messages.parse_changes({'events': [other, event]})
         assert [change.key for change in changes] == ['a']
--- a/tests/adapter/config_soak.py
+++ b/tests/adapter/config_soak.py
@@ -21,7 +21,7 @@
 # The rest of the day, in which what is late shows.
 CALM_S = 10.0
 SIZES = (3, 5, 12)
-REFUSALS = ('busy', 'many', 'reset', 'silent')
+REFUSALS = ('unavailable', 'rate_limited', 'reset', 'silent')
 
 
 async def silence(fleet, entry, duration_s):
@@ -84,7 +84,7 @@
 
 async def lose_history(fleet, entry, duration_s):
     """Let the store drop its history while a change is made."""
-    if fleet.deaf is None:
+    if fleet.held_watches is None:
         await fleet.lose_history()
 
 
--- a/tests/adapter/test_odd_rows.py
+++ b/tests/adapter/test_malformed_rows.py
@@ -1,4 +1,4 @@
-"""Tests of lists in which another program has left an odd row."""
+"""Tests of lists in which another program has left a malformed row."""
 
 import asyncio
 
@@ -25,7 +25,7 @@
 
 DEEP = b'[' * 2000 + b']' * 2000
 # Texts in place of a row's field.
-ODD_TEXTS = {
+MALFORMED_TEXTS = {
     'nested': DEEP,
     'nested objects': b'{"a":' * 2000 + b'1' + b'}' * 2000,
     'number too large': b'1' + b'0' * 400,
@@ -35,13 +35,13 @@
     'no text': b'"\xff\xfe"',
     'brackets in a string': b'"\\"]}],[{" , "u": ' + DEEP,
 }
-odd_texts = pytest.mark.parametrize(
-    'text', list(ODD_TEXTS.values()), ids=list(ODD_TEXTS)
+malformed_texts = pytest.mark.parametrize(
+    'text', list(MALFORMED_TEXTS.values()), ids=list(MALFORMED_TEXTS)
 )
 
 
 class TestLoads:
-    @odd_texts
+    @malformed_texts
     def test_neighbours_are_kept(self, text):
         """Guards against a row that takes the others with it."""
         body = b'{"x": "[", "a": [{"n": 1}, {"n": %b}, [2], "3,]"], "b": 7}'
@@ -57,63 +57,65 @@
             _json.loads(text)
 
 
-class OddStore(fakes.FakeStore):
-    """Store whose lists hold an odd row before the others.
+class MalformedStore(fakes.FakeStore):
+    """Store whose lists hold a malformed row before the others.
 
-    `odd_field` is the JSON text of a field of that row, if set.
+    `malformed_field` is the JSON text of a field of that row, if set.
     """
 
-    odd_field = None
+    malformed_field = None
 
     async def handle(self, req):
         """Answer a request."""
         reply = await super().handle(req)
         for key in ('items', 'events'):
             rows = isinstance(reply.value, dict) and reply.value.get(key)
-            if self.odd_field is not None and rows:
-                row = b'{"key": "op/odd", "rev": 1, "value": %b}'
+            if self.malformed_field is not None and rows:
+                row = b'{"key": "op/other", "rev": 1, "value": %b}'
                 body = orjson.dumps({**reply.value, key: [None, *rows]})
-                reply.value = body.replace(b'null', row % self.odd_field, 1)
+                reply.value = body.replace(
+                    b'null', row % self.malformed_field, 1
+                )
         return reply
 
 
 class TestStore:
-    @odd_texts
+    @malformed_texts
     @run_in_loop
-    async def test_change_beside_an_odd_row(self, text):
+    async def test_change_beside_a_malformed_row(self, text):
         """Guards against a change that is never seen for another row."""
-        async with serving_store(OddStore) as (fake_store, _, client):
+        async with serving_store(MalformedStore) as (fake_store, _, client):
             prefix = _store.EVACUATIONS_PREFIX
-            fake_store.odd_field = text
+            fake_store.malformed_field = text
             fake_store.put(prefix + 'a', b'{}')
             async with following_operator(client) as shell:
                 await until(lambda: shell.domains() == {'a'})
                 fake_store.put(prefix + 'b', b'{}')
                 await until(lambda: shell.domains() == {'a', 'b'})
 
-    @odd_texts
+    @malformed_texts
     @run_in_loop
-    async def test_entries_beside_an_odd_row(self, text):
+    async def test_entries_beside_a_malformed_row(self, text):
         """Guards against entries that aren't found for another row."""
-        async with serving_store(OddStore) as (fake_store, _, client):
-            fake_store.odd_field = text
+        async with serving_store(MalformedStore) as (fake_store, _, client):
+            fake_store.malformed_field = text
             fake_store.put('azurepier/entries/e/1', b'10.0.0.1:7000 a')
             entries = await _entry.read_entries(client)
             assert entries == [('10.0.0.1:7000', 'a')]
 
-    @odd_texts
+    @malformed_texts
     @run_in_loop
-    async def test_odd_row_is_no_reason_to_take_back_a_domain(self, text):
+    async def test_malformed_row_does_not_take_back_a_domain(self, text):
         """Guards against a domain that returns with an unreadable row."""
-        async with serving_store(OddStore) as (fake_store, _, client):
-            fake_store.odd_field = text
+        async with serving_store(MalformedStore) as (fake_store, _, client):
+            fake_store.malformed_field = text
             fake_store.put(_store.EVACUATIONS_PREFIX + 'a', b'{}')
             with pytest.raises(_store.store.StoreError):
                 await _operator.read_evacuations(client)
 
 
 class TestWorkerLists:
-    """A worker's list of runs with an odd row between two others."""
+    """A worker's list of runs with a malformed row between two others."""
 
     RUNNING = (runner.RunningRow('a', 1, 50), runner.RunningRow('b', 2, 60))
     ENDED = (
@@ -142,10 +144,13 @@
             b'["x", true, "", 50, 0]',
             b'["x", -1, "", 50, 0]',
             b'["x", 18446744073709551616, "", 50, 0]',
-            *[b'["x", %b, "", 50, 0]' % each for each in ODD_TEXTS.values()],
+            *[
+                b'["x", %b, "", 50, 0]' % each
+                for each in MALFORMED_TEXTS.values()
+            ],
         ],
     )
-    def test_odd_running_row(self, row):
+    def test_malformed_running_row(self, row):
         """Guards against a worker that is lost for one row of its list."""
         decoded = self.decode(running=row + b',')
         assert decoded.running == self.RUNNING
@@ -163,7 +168,7 @@
             *[b'[2, "x", 1, %b, ""]' % each for each in (DEEP, b'1e400')],
         ],
     )
-    def test_odd_ended_row(self, row):
+    def test_malformed_ended_row(self, row):
         """Guards against ends that are lost for one row of the list."""
         decoded = self.decode(ended=row + b',')
         assert decoded.running == self.RUNNING
@@ -173,7 +178,7 @@
     @pytest.mark.parametrize(
         'percent', [b'"x"', b'null', b'1e300', b'-5', b'[[]]', b'101']
     )
-    def test_odd_percent(self, percent):
+    def test_malformed_percent(self, percent):
         """Guards against a run that is lost for a figure beside it."""
         decoded = self.decode(running=b'["x", 1, "", %b, 0],' % percent)
         assert decoded.running[1] == runner.RunningRow('x', 1, None)
@@ -181,13 +186,13 @@
 
 
 class TestConfiguration:
-    @odd_texts
+    @malformed_texts
     @pytest.mark.parametrize('field', [b'stretch', b'hostname', b'unknown'])
-    def test_odd_route(self, text, field):
+    def test_malformed_route(self, text, field):
         """Guards against a version that is in force without one route.
 
         The configuration is one document, which holds as a whole or not at
-        all: without the odd route, its callers would get 404.
+        all: without the malformed route, its callers would get 404.
         """
 
         async def play():
@@ -219,7 +224,7 @@
     @pytest.mark.parametrize(
         'label', [b'7', b'null', b'{}', b'[' * 900 + b']' * 900]
     )
-    def test_odd_label(self, label):
+    def test_malformed_label(self, label):
         """Guards against a worker that is lost for one of its labels."""
         body = self.REPORT % (b'"a", %b, "b"' % label)
         assert _workers.decode_report('i', body).labels == ('a', 'b')
@@ -228,17 +233,17 @@
     @pytest.mark.parametrize(
         'field', [b'state', b'sequence', b'service', b'capacity', b'born']
     )
-    def test_odd_field(self, field, text):
+    def test_field(self, field, text):
         """Guards against another exception than that of a bad report."""
-        odd = b', "%b": %b}' % (field, text)
+        extra = b', "%b": %b}' % (field, text)
         with pytest.raises(InvalidInputError):
-            _workers.decode_report('i', (self.REPORT % b'')[:-1] + odd)
+            _workers.decode_report('i', (self.REPORT % b'')[:-1] + extra)
 
     def test_nested_state(self):
         """Guards against an error while a nested value is described."""
-        odd = b', "state": %b}' % (b'[' * 1000 + b']' * 1000)
+        extra = b', "state": %b}' % (b'[' * 1000 + b']' * 1000)
         with pytest.raises(InvalidInputError, match='state'):
-            _workers.decode_report('i', (self.REPORT % b'')[:-1] + odd)
+            _workers.decode_report('i', (self.REPORT % b'')[:-1] + extra)
 
 
 class TestRegistrations:
@@ -255,7 +260,7 @@
         ],
     )
     @run_in_loop
-    async def test_odd_registration(self, value):
+    async def test_malformed_registration(self, value):
         """Guards against an address that fills the lists of all entries."""
         async with serving_store() as (fake_store, _, client):
             fake_store.put('azurepier/entries/a/1', b'10.0.0.1:7000 a')
@@ -280,7 +285,7 @@
 
 class TestSettings:
     @pytest.mark.parametrize('seed', ['7', '[]', '{}', '"x"', '""', '1e400'])
-    def test_odd_seed(self, seed):
+    def test_malformed_seed(self, seed):
         """Guards against a process that doesn't start for one seed."""
         text = SETTINGS % f'"10.0.0.1:7000", {seed}, "10.0.0.3:7000"'
         decoded = _settings.decode(text)
--- a/tests/adapter/virtual_fleet.py
+++ b/tests/adapter/virtual_fleet.py
@@ -1,8 +1,8 @@
 """Entries as whole programs on virtual time, beside a store with faults.
 
-What a machine in touch must have in force is judged as the operators do: it
-has run undisturbed for `CONTACT_S`, the store has been sound for as long, and
-the change was acknowledged more than `APPLY_S` ago.
+A change has to be in force `APPLY_S` after the store has acknowledged it, at
+each entry that has run undisturbed for `CONTACT_S` with a store that was sound
+for as long.
 """
 
 import asyncio
@@ -25,10 +25,10 @@
 
 CONTACT_S = 3.0
 APPLY_S = 2.0
-# Time of an answer of the store (s), and that of a loss of its history during
-# which no watch is answered.
+# Time of an answer of the store (s), and time before a loss of its history in
+# which no watch is answered (s).
 ANSWER_S = 0.004
-DEAF_S = 1.26
+HELD_S = 1.26
 SAMPLE_S = 0.05
 STORE_HOST = '10.200.1.7'
 
@@ -68,10 +68,12 @@
     shells : dict of str to Shell
         The latest one that was made on each host.
     store_faults : dict of str to str
-        What the store does to the requests of a host: 'busy', 'many', 'reset'
-        or 'silent'.
+        Fault of the store by host: 'unavailable' (503), 'rate_limited' (429),
+        'reset' or 'silent'.
     calm_since : dict of str to float
         Time of the end of the latest disturbance by host; '' is the store (s).
+    held_watches : asyncio.Event or None
+        While the store answers no watch: is set when it resets them.
     acknowledged : list of tuple
         Time and version of each change.
     violations : list of str
@@ -93,7 +95,7 @@
     violations: list = attrs.field(factory=list)
     worst_lag_s: float = 0.0
     worst_recovery_s: float = 0.0
-    deaf: asyncio.Event | None = None
+    held_watches: asyncio.Event | None = None
     version: int = 0
 
     def disturb(self, *hosts, for_s=0.0):
@@ -116,10 +118,12 @@
         if fault == 'reset':
             return None
         if fault is not None:
-            return _server.Reply({}, {'busy': 503, 'many': 429}[fault])
+            return _server.Reply(
+                {}, {'unavailable': 503, 'rate_limited': 429}[fault]
+            )
         reply = await self.store.handle(req)
-        if self.deaf is not None and req.path == '/kv-watch':
-            await self.deaf.wait()
+        if self.held_watches is not None and req.path == '/kv-watch':
+            await self.held_watches.wait()
             return None
         return reply
 
@@ -175,14 +179,14 @@
 
     async def lose_history(self):
         """Leave watches unanswered, make a change, drop the history."""
-        self.disturb('', for_s=DEAF_S)
-        self.deaf = asyncio.Event()
-        await asyncio.sleep(DEAF_S * self.rng.random())
+        self.disturb('', for_s=HELD_S)
+        self.held_watches = asyncio.Event()
+        await asyncio.sleep(HELD_S * self.rng.random())
         self.change()
-        await asyncio.sleep(DEAF_S / 2)
+        await asyncio.sleep(HELD_S / 2)
         self.store.discard_history()
-        deaf, self.deaf = self.deaf, None
-        deaf.set()
+        held, self.held_watches = self.held_watches, None
+        held.set()
 
     def silence(self, entry):
         """Let all open connections of an entry go silent for good."""
@@ -190,15 +194,15 @@
             end.silent = end.other.silent = True
             self.disturb(*{end.host, end.other.host} - {STORE_HOST})
 
-    async def judge(self):
+    async def check(self):
         """Compare the entries with what was acknowledged."""
         while True:
             await asyncio.sleep(SAMPLE_S)
             for entry in self.entries.values():
                 if entry.version >= 0:
-                    self._judge_entry(entry)
+                    self._check_entry(entry)
 
-    def _judge_entry(self, entry):
+    def _check_entry(self, entry):
         now = self.loop.time()
         missing = [
             each for each in self.acknowledged if each[1] > entry.version
@@ -249,10 +253,10 @@
         for index in range(size):
             await fleet.start_entry(f'e{index}')
         await asyncio.sleep(5.0)
-        judge = loop.create_task(fleet.judge())
+        check = loop.create_task(fleet.check())
         try:
             yield fleet
         finally:
-            judge.cancel()
+            check.cancel()
             for name in list(fleet.entries):
                 fleet.kill(name)
