Start a job again whose queue has moved to another pool

What callers would see: a request that is sent again under its id, after its route was moved to another service, is run by the old one. Cause: a submission whose id is known joined the job as it had been accepted, with the pool of the version of that time. Evidence: the new test fails before: both tasks run on the worker of the old pool after the second submission. Fix: such a job is withdrawn, its runs are stopped, and it starts in the new pool once they have ended, as after a caller that came back (no overlap in the test). Callers of the earlier submission get the answer too. A job in the same pool is joined as before.

--- a/azurepier/dispatch/_callers.py
+++ b/azurepier/dispatch/_callers.py
@@ -26,17 +26,21 @@
             effects.Log('job_answered_again', {'job_id': request.id}),
             effects.Answer(event.req, recent[1]),
         ]
+    out, reqs = [], {event.req}
     job = node.jobs.get(request.id)
-    if job is not None:
+    if job is not None and job.queue.pool == queue.pool:
         job.reqs.add(event.req)
         node.job_by_req[event.req] = job
         node.count('jobs_joined')
         return [effects.Log('job_joined', {'job_id': request.id})]
+    if job is not None:
+        out = _withdraw(node, job, queue, now)
+        reqs |= job.reqs
     work_s = request.declared_ms / MS_PER_S
     objective_s = queue.stretch * work_s + queue.margin_s
     received_at = now - event.waited_s
     job = _state.Job(
-        {event.req},
+        reqs,
         queue,
         request,
         received_at,
@@ -53,10 +57,10 @@
     _demand.record_arrival(node, job)
     _reserve.record_arrival(node, job)
     node.jobs[request.id] = job
-    node.job_by_req[event.req] = job
+    node.job_by_req.update(dict.fromkeys(reqs, job))
     node.count('jobs')
     node.dirty = True
-    out = [
+    out.append(
         effects.Log(
             'job_received',
             {
@@ -68,7 +72,7 @@
                 'config_version': _state.config_version(node),
             },
         )
-    ]
+    )
     rejection = _find_rejection(node, job, now)
     if rejection is not None:
         rejected = _model.Rejected(*rejection)
@@ -79,6 +83,19 @@
     return out
 
 
+def _withdraw(node, job, queue, now):
+    """Remove a job whose queue has moved to another pool since it came."""
+    node.count('jobs_moved')
+    fields = {
+        'job_id': job.request.id,
+        'from_pool': job.queue.pool,
+        'to_pool': queue.pool,
+        'running': len(job.running),
+    }
+    _runs.remember_start(node, job, now)
+    return [effects.Log('job_moved', fields), *_runs.remove_job(node, job)]
+
+
 def _find_rejection(node, job, now):
     """Return reason and Retry-After (s) of a rejection, or None."""
     rejection = _drain.find_rejection(node, job, now)
--- a/azurepier/dispatch/tests/test_resubmission.py
+++ b/azurepier/dispatch/tests/test_resubmission.py
@@ -1,5 +1,7 @@
 """A task of which an earlier run still exists when its job comes again."""
 
+import attrs
+
 from azurepier import dispatch
 from azurepier.kernel import effects
 from azurepier.kernel import events
@@ -57,6 +59,29 @@
         assert fleet.ledger.overlaps == []
 
 
+class TestMovedQueue:
+    def test_job_runs_in_the_pool_of_its_latest_submission(self):
+        """Guards against a job that runs on by a replaced configuration."""
+        fleet = testing.make_pool(entries=1, speeds=(1.0, 1.0))
+        worker = fleet.workers['w1']
+        worker.pool = 'other'
+        fleet.run_for(2.0)
+        call = fleet.submit(2.0, count=2, entry='e0')
+        fleet.run_for(0.3)
+        moved = attrs.evolve(call.queue, pool='other')
+        entry = fleet.entries['e0']
+        fleet.driver.feed(entry, dispatch.Submit(1000, moved, call.job))
+        fleet.run_for(1.0)
+        assert not fleet.workers['w0'].runs
+        assert len(worker.runs) == 2
+        fleet.run_for(3.0)
+        assert fleet.ledger.overlaps == []
+        # The caller of the first submission is answered too.
+        assert call.body == dispatch.Finished(True)
+        _, answer = fleet.driver.answers['e0', 1000]
+        assert answer == dispatch.Finished(True)
+
+
 class TestUnknownRun:
     def test_entry_stops_a_run_that_it_has_dropped(self):
         """Guards against a run that goes on beside its successor.
--- a/azurepier/testing/_worker.py
+++ b/azurepier/testing/_worker.py
@@ -106,6 +106,7 @@
     lease_expirations: int = 0
     deadly: dict = attrs.field(factory=dict)
     down: bool = False
+    pool: str = 'pool'
 
     def clock(self):
         """Return the time on the worker's clock (ms)."""
@@ -117,7 +118,7 @@
         return runner.Worker(
             id=f'{self.name}-{self.born}',
             born=self.born,
-            pool='pool',
+            pool=self.pool,
             labels=(),
             cpu=self.cpu,
             mem_mb=1_000_000,
