--- a/tests/adapter/test_config_soak.py
+++ b/tests/adapter/test_config_soak.py
@@ -1,4 +1,4 @@
-"""Days of random faults, in which each entry in touch has the newest version.
+"""Days of random faults; undisturbed entries have the newest version.
 
 The long run is started by hand, see `config_soak`.
 """
--- a/tests/adapter/virtual_fleet.py
+++ b/tests/adapter/virtual_fleet.py
@@ -78,7 +78,7 @@
         Time and version of each change.
     violations : list of str
     worst_lag_s : float
-        Longest time from a change to its effect at an entry in touch (s).
+        Longest time from a change to its effect at an undisturbed entry (s).
     worst_recovery_s : float
         Longest time until a change was in force at an entry that ran, counted
         from the change or the end of the latest disturbance (s).
