Show that a woken entry starts jobs that others have taken over

Callers of a frozen entry leave it at their time limit and send their jobs to another one. When the entry wakes, it reads the old requests and starts their tasks before it reads that the channels have ended, beside the runs of the other entry.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,55 +1,81 @@
-"""A worker that is silent for a moment and returns under the same id."""
+"""An entry that is frozen while callers give jobs up and send them again.
+
+Callers of a frozen entry wait until their time limit, close their channel and
+hand the job in again at another entry, as after any request without an answer.
+"""
 
 import asyncio
 import pathlib
 import random
+import signal
 import sys
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 import harness  # noqa: E402
 
-TRAFFIC_S = 24.0
-JOBS_PER_S = 12
-FIRST_CRASH_S = 3.0
-CRASH_INTERVAL_S = 3.0
-DOWN_S = 0.25
+ROUNDS = 4
+FREEZE_S = 4.0
+CALLERS = 6
+TIME_LIMIT_S = 1.5
+TASK_MS = 1500
 
 
-async def disturb(fleet, began):
-    """Crash one worker after the other."""
-    at_s, turn = FIRST_CRASH_S, 0
-    while at_s < TRAFFIC_S - 1.0:
-        await asyncio.sleep(max(began + at_s - time.monotonic(), 0))
-        await fleet.workers[turn % 3].crash(DOWN_S, silent=True)
-        at_s, turn = at_s + CRASH_INTERVAL_S, turn + 1
+async def submit_twice(fleet, rng, frozen_ip, at_s, answers):
+    """Hand a job in at one entry and, without an answer, at another one."""
+    record = fleet.record
+    await asyncio.sleep(at_s)
+    job_id = f'{rng.getrandbits(64):016x}'
+    body = harness.job_body(3, TASK_MS, 500)
+    others = [ip for ip in fleet.entry_ips if ip != frozen_ip]
+    for ip, limit_s in ((frozen_ip, TIME_LIMIT_S), (rng.choice(others), 20)):
+        record.note(f'caller sends {job_id} to {ip}')
+        try:
+            status, answer = await harness.call(
+                ip,
+                harness.FRONT,
+                'POST',
+                harness.PREFIX + job_id,
+                body,
+                limit_s,
+            )
+        except (OSError, EOFError, TimeoutError) as exc:
+            record.note(f'caller of {job_id} leaves {ip}: {exc!r}')
+            await asyncio.sleep(harness.RESEND_S)
+            continue
+        record.note(f'caller of {job_id}: {status} {answer} from {ip}')
+        answers.append(status)
+        return
 
 
 async def play(record):
     """Return the violations of the case."""
     fleet = harness.Fleet(record)
-    rng = random.Random(5)
+    rng = random.Random(17)
+    answers = []
     try:
         await fleet.start()
-        began = time.monotonic()
-        tasks = []
-        if harness.TROUBLE:
-            tasks.append(asyncio.create_task(disturb(fleet, began)))
-        answers = []
-
-        async def caller():
-            job_id = f'{rng.getrandbits(64):016x}'
-            body = harness.job_body(24, 150, 250)
-            answers.append(await harness.submit(fleet, rng, job_id, body, 15))
-
-        while time.monotonic() - began < TRAFFIC_S:
-            tasks.append(asyncio.create_task(caller()))
-            await asyncio.sleep(rng.expovariate(JOBS_PER_S))
-        await asyncio.gather(*tasks)
-        served = sum(status == 200 for status, _ in answers)
-        record.note(f'{served} of {len(answers)} jobs were served')
-        if served < len(answers) / 2:
-            raise harness.CouldNotRun('hardly any job was served')
+        for turn in range(ROUNDS):
+            ip = fleet.entry_ips[turn % len(fleet.entry_ips)]
+            process = fleet.processes[ip]
+            began = time.monotonic()
+            if harness.TROUBLE:
+                process.send_signal(signal.SIGSTOP)
+                record.note(f'{ip} is frozen')
+            callers = [
+                asyncio.create_task(
+                    submit_twice(fleet, rng, ip, 0.1 + 0.2 * each, answers)
+                )
+                for each in range(CALLERS)
+            ]
+            await asyncio.sleep(began + FREEZE_S - time.monotonic())
+            if harness.TROUBLE:
+                process.send_signal(signal.SIGCONT)
+                record.note(f'{ip} wakes')
+            await asyncio.gather(*callers)
+            await asyncio.sleep(1.0)
+        if answers.count(200) < len(answers) / 2:
+            raise harness.CouldNotRun(f'hardly any job was served: {answers}')
     finally:
         fleet.close()
     return [
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A worker that returns from a crash as another kind."""
+"""A heartbeat of another writer, which names a service that doesn't exist."""
 
 import asyncio
 import pathlib
@@ -9,32 +9,50 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 import harness  # noqa: E402
 
-TRAFFIC_S = 30.0
-JOBS_PER_S = 100
-FIRST_CRASH_S = 3.0
-CRASH_INTERVAL_S = 1.0
-DOWN_S = 0.1
+TRAFFIC_S = 14.0
+JOBS_PER_S = 4
+FOREIGN_AT_S = (4.0, 7.0, 10.0)
+
+
+def foreign_heartbeat(worker):
+    """Return a heartbeat whose service no manifest and no page names."""
+    return {
+        'service': 'zz-not-named',
+        'address': f'{worker.ip}:9',
+        'zone': worker.zone,
+        'version': 'v1',
+        'slots': 8,
+        'state': 'ready',
+        'cold_left_ms': 0,
+        'capacity': {'cpu': 8000, 'mem_mb': 16384, 'gpu': 0},
+        'labels': ['a', 'r1'],
+        'clock_ms': 5,
+        'born': int(time.time() * 1000),
+        'sequence': 1,
+    }
 
 
 async def disturb(fleet, began):
-    """Crash a worker every few seconds; its kind alternates."""
-    kinds = {worker.name: worker.labels[0] for worker in fleet.workers}
-    at_s = FIRST_CRASH_S
-    for turn in range(100):
-        if at_s > TRAFFIC_S - 2.0:
-            return
+    """Send one heartbeat of another writer to each worker's machine."""
+    for at_s, worker in zip(FOREIGN_AT_S, fleet.workers, strict=True):
         await asyncio.sleep(max(began + at_s - time.monotonic(), 0))
-        worker = fleet.workers[turn % 3]
-        kind = 'b' if kinds[worker.name] == 'a' else 'a'
-        kinds[worker.name] = kind
-        await worker.crash(DOWN_S, labels=[kind, 'r1'])
-        at_s += CRASH_INTERVAL_S
+        body = foreign_heartbeat(worker)
+        fleet.record.note(f'another writer sends {body} to {worker.ip}')
+        status, _ = await harness.call(
+            worker.ip,
+            harness.CONTROL,
+            'POST',
+            '/Instances.Heartbeat/zz-other',
+            body,
+            timeout_s=2.0,
+        )
+        fleet.record.note(f'the other writer gets {status}')
 
 
 async def play(record):
     """Return the violations of the case."""
-    fleet = harness.Fleet(record, entries=6, workers=4)
-    rng = random.Random(11)
+    fleet = harness.Fleet(record)
+    rng = random.Random(7)
     try:
         await fleet.start()
         began = time.monotonic()
@@ -45,24 +63,22 @@
 
         async def caller():
             job_id = f'{rng.getrandbits(64):016x}'
-            body = harness.job_body(1, 30, requirements='a')
-            answers.append(await harness.submit(fleet, rng, job_id, body, 15))
+            body = harness.job_body(4, 800)
+            answers.append(await harness.submit(fleet, rng, job_id, body, 20))
 
         while time.monotonic() - began < TRAFFIC_S:
             tasks.append(asyncio.create_task(caller()))
-            await asyncio.sleep(rng.expovariate(JOBS_PER_S))
+            await asyncio.sleep(1 / JOBS_PER_S)
         await asyncio.gather(*tasks)
-        served = sum(status == 200 for status, _ in answers)
-        record.note(f'{served} of {len(answers)} jobs were served')
-        if served < len(answers) / 2:
-            raise harness.CouldNotRun('hardly any job was served')
+        if sum(status == 200 for status, _ in answers) < len(answers) / 2:
+            raise harness.CouldNotRun(f'hardly any job was served: {answers}')
     finally:
         fleet.close()
     return [
-        f'ROUTE: {run.task} requires the label a and began at {run.began:.4f}'
-        f' on {run.worker}, whose kind was {run.label}'
-        for run in record.runs
-        if run.label != 'a'
+        f'TWICE: {first.task} run {first.number} on {first.worker} and run'
+        f' {second.number} on {second.worker} were both at work from'
+        f' {begin:.4f} to {end:.4f}'
+        for first, second, begin, end in harness.overlaps(record)
     ]
 
 
