--- a/review/harness.py
+++ b/review/harness.py
@@ -771,7 +771,7 @@
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         violations = asyncio.run(asyncio.wait_for(play(record), 110))
-    except (CouldNotRun, TimeoutError, OSError) as exc:
+    except Exception as exc:
         record.write(folder, f'could not run: {exc!r}')
         sys.exit(NOT_RUN)
     for text in violations:
