Send starts only to the incarnation for which they are meant

Cause: a start names the worker's id.

Change: a start carries the start time of its incarnation and is sent on a connection on which a list has shown it. Otherwise the run is refused and placed again by its entry. A connection ends with the process that has accepted it, so that one list per connection is enough.

--- a/azurepier/daemon/_http.py
+++ b/azurepier/daemon/_http.py
@@ -34,6 +34,14 @@
     """
 
 
+class UnidentifiedError(NotSentError):
+    """The server did not show its identity; the request was not sent."""
+
+
+class OtherServerError(NotSentError):
+    """Another server than the intended one answers; nothing was sent to it."""
+
+
 class ResponseTooLongError(ResponseError):
     """The response is longer than the limit.
 
@@ -50,10 +58,41 @@
         self.status = status
 
 
+@attrs.frozen
+class Identification:
+    """Request that shows which server answers a connection.
+
+    A server that was replaced at its address is found out before it receives
+    a request that was meant for its predecessor. A connection ends with the
+    server that has accepted it, so that it is identified once.
+
+    Parameters
+    ----------
+    method, path, body
+        As for `Pool.call`.
+    identify : callable
+        ``identify(response)`` returns the identity that the status and body
+        show, None if they show none.
+    accepts : callable
+        ``accepts(identity)`` tells whether the request itself may be sent now.
+    """
+
+    method: str
+    path: str
+    body: bytes
+    identify: object
+    accepts: object
+
+
 class _Connection(asyncio.Protocol):
     """A connection that carries one request at a time.
 
     The parser of httptools calls the methods ``on_...``.
+
+    Attributes
+    ----------
+    identity : object or None
+        What the server has shown on this connection.
     """
 
     def __init__(self, max_response_bytes):
@@ -66,6 +105,7 @@
         self.on_response = None
         self.idle_since = 0.0
         self.reusable = False
+        self.identity = None
 
     def connection_made(self, transport):
         """Store the transport."""
@@ -204,7 +244,16 @@
         self._release(conn)
         return response
 
-    def request(self, method, path, body, headers, timeout_s, on_response):
+    def request(
+        self,
+        method,
+        path,
+        body,
+        headers,
+        timeout_s,
+        on_response,
+        identification=None,
+    ):
         """Send a request once, without retries; pass the result to a callback.
 
         Unlike `call`, it creates an asyncio task only for a new connection.
@@ -214,25 +263,37 @@
         method, path, body, headers
             As for `call`.
         timeout_s : float
-            Timeout for connecting and receiving the response together.
+            Timeout for connecting and receiving the response together (s). If
+            the server is identified first, the time starts anew after that.
         on_response : callable
             ``on_response(response, error)`` is called once, with the status
             and body as a tuple, or with the error: `NotSentError`,
             `ResponseError` or `TimeoutError`.
+        identification : Identification, optional
+            The request is sent only on a connection whose server this accepts;
+            otherwise it fails with `OtherServerError`, or with
+            `UnidentifiedError` if the identification has no answer.
         """
         request = self._encode(method, path, body, headers)
         loop = asyncio.get_running_loop()
         conn = self._take_idle_connection()
         if conn is None:
             task = loop.create_task(
-                self._connect_and_send(request, timeout_s, on_response)
+                self._connect_and_send(
+                    request, timeout_s, on_response, identification
+                )
             )
             self._connecting.add(task)
             task.add_done_callback(self._connecting.discard)
             return
-        self._send(conn, request, loop.time() + timeout_s, on_response)
+        deadline = loop.time() + timeout_s
+        self._identify_and_send(
+            conn, request, deadline, timeout_s, on_response, identification
+        )
 
-    async def _connect_and_send(self, request, timeout_s, on_response):
+    async def _connect_and_send(
+        self, request, timeout_s, on_response, identification
+    ):
         deadline = asyncio.get_running_loop().time() + timeout_s
         try:
             async with asyncio.timeout_at(deadline):
@@ -242,9 +303,52 @@
         except NotSentError as exc:
             on_response(None, exc)
         else:
+            self._identify_and_send(
+                conn, request, deadline, timeout_s, on_response, identification
+            )
+
+    def _identify_and_send(
+        self, conn, request, deadline, timeout_s, on_response, identification
+    ):
+        """Send a request, after an identification if that is required."""
+        if identification is None or identification.accepts(conn.identity):
             self._send(conn, request, deadline, on_response)
+            return
+
+        def on_identified(response, error):
+            if error is not None:
+                reason = str(error) or 'no answer in time'
+                on_response(None, UnidentifiedError(reason))
+                return
+            conn.identity = identification.identify(response)
+            if not conn.reusable or not identification.accepts(conn.identity):
+                self._release(conn)
+                on_response(
+                    None, OtherServerError(f'the server is {conn.identity}')
+                )
+                return
+            deadline = asyncio.get_running_loop().time() + timeout_s
+            self._send(conn, request, deadline, on_response)
+
+        identifying = self._encode(
+            identification.method,
+            identification.path,
+            identification.body,
+            None,
+        )
+        self._exchange(conn, identifying, deadline, on_identified)
 
     def _send(self, conn, request, deadline, on_response):
+        def on_complete(response, error):
+            if error is None:
+                self._release(conn)
+            on_response(response, error)
+
+        self._exchange(conn, request, deadline, on_complete)
+
+    def _exchange(self, conn, request, deadline, on_response):
+        """Send a request on a connection, which isn't released afterwards."""
+
         def on_timeout():
             conn.abort()
             on_response(None, TimeoutError())
@@ -253,8 +357,6 @@
 
         def on_complete(response, error):
             timer.cancel()
-            if error is None:
-                self._release(conn)
             on_response(response, error)
 
         conn.send(request, on_complete)
--- a/azurepier/dispatch/tests/test_mechanisms.py
+++ b/azurepier/dispatch/tests/test_mechanisms.py
@@ -3,6 +3,7 @@
 Each test must fail when the mechanism that it covers is disabled.
 """
 
+import attrs
 import pytest
 
 from azurepier.dispatch import _bounds
@@ -223,6 +224,15 @@
     patch.setattr(_requirements, '_REQUIREMENTS', {})
 
 
+def _start_on_any_incarnation(patch):
+    make_effect = _orders._start_effect
+    patch.setattr(
+        _orders,
+        '_start_effect',
+        lambda *args: attrs.evolve(make_effect(*args), born=None),
+    )
+
+
 def _ignore_refused_connections(patch):
     patch.setattr(_requests, 'mark_unreachable', _no_effects)
 
@@ -415,6 +425,10 @@
         _ignore_requirements,
         unsuitable.TestStepLimit().test_job_at_two_entries,
     ),
+    'a start is meant for one incarnation of the worker': (
+        _start_on_any_incarnation,
+        unsuitable.TestReturnWithoutRuns().test_order_before_the_first_report,
+    ),
     'a worker that refuses connections gets no start': (
         _ignore_refused_connections,
         lambda: OtherKindTests().test_return_that_is_not_reported_yet(0),
--- a/azurepier/dispatch/tests/test_unsuitable_workers.py
+++ b/azurepier/dispatch/tests/test_unsuitable_workers.py
@@ -4,6 +4,7 @@
 
 from azurepier import dispatch
 from azurepier.dispatch.tests import test_returned_worker as returned_worker
+from azurepier.kernel import effects
 from azurepier import runner
 from azurepier import testing
 
@@ -27,6 +28,33 @@
     )
 
 
+def count_withheld(fleet):
+    return sum(
+        isinstance(effect, effects.Log) and effect.event == 'start_withheld'
+        for _, _, effect in fleet.driver.log_effects
+    )
+
+
+def bind_starts(fleet):
+    """Let a start reach only the incarnation for which it is meant.
+
+    A shell sends it on a connection on which the worker has shown its start
+    time.
+    """
+
+    def start(driver, process, effect):
+        worker = process.worker
+        if effect.born in (None, worker.born):
+            effect = returned_worker.address_current_worker(worker, effect)
+            worker.start(process, effect)
+            return
+        result = runner.StartResult.OTHER_INCARNATION
+        event = runner.StartAnswered(effect.task, effect.number, result)
+        driver.after(0.001, driver.feed, process, event)
+
+    fleet.driver.effect_handlers[runner.StartRun] = start
+
+
 class TestReturnAsAnotherKind:
     KINDS = {
         'labels': (('a',), ('b',), 'label_missing'),
@@ -83,6 +111,35 @@
         assert worker.runs == {}
 
 
+class TestReturnWithoutRuns:
+    def test_order_before_the_first_report(self):
+        """Guards against a start that only the earlier kind suits.
+
+        An idle worker is asked for its list once a second, so that nothing
+        shows its restart in between.
+        """
+        fleet = testing.make_pool(entries=1, speeds=(1.0, 1.0))
+        bind_starts(fleet)
+        for name in fleet.workers:
+            return_as(fleet, name, labels=('a',))
+        fleet.run_for(2.0)
+        calls = []
+        for worker in fleet.workers.values():
+            fleet.run_for(0.5)
+            worker.crash()
+            worker.labels = ('b',)
+            calls += [
+                fleet.submit(0.2, label='a', queue=PATIENT) for _ in range(4)
+            ]
+            fleet.run_for(0.1)
+            assert worker.runs == {}
+            return_as(fleet, worker.name, labels=('a',))
+            fleet.run_for(1.0)
+        assert all(call.body == dispatch.Finished(True) for call in calls)
+        # An order that was withheld is not sent there again at once.
+        assert 0 < count_withheld(fleet) <= len(calls)
+
+
 class TestStepLimit:
     def test_job_at_two_entries(self):
         """Guards against more tasks of a step than may be on a worker."""
--- a/azurepier/runner/_model.py
+++ b/azurepier/runner/_model.py
@@ -14,7 +14,9 @@
     NO_ROOM = 'no_room'
     OLD_GENERATION = 'old_generation'
     UNHEALTHY = 'unhealthy'
-    OTHER_WORKER = 'other_worker'  # another incarnation answered
+    OTHER_WORKER = 'other_worker'  # a worker with another id answered
+    OTHER_INCARNATION = 'other_incarnation'  # not sent to a restarted worker
+    UNIDENTIFIED = 'unidentified'  # not sent, as no list was answered before
     INVALID = 'invalid'
     NOT_SENT = 'not_sent'
     WITHDRAWN = 'evacuated'  # not sent, since the domain was evacuated
@@ -172,6 +174,10 @@
     generation : int
     worker : str
         Id of the intended worker; empty if it is not known.
+    born : int
+        Start time of the intended incarnation (ms since 1970). The start is
+        sent only on a connection on which a list has shown it, so that a
+        worker that has restarted under its id doesn't receive it.
     """
 
     task: str
@@ -180,6 +186,7 @@
     lease_ms: int
     generation: int
     worker: str
+    born: int
 
 
 @attrs.frozen
--- a/azurepier/runner/_orders.py
+++ b/azurepier/runner/_orders.py
@@ -41,7 +41,11 @@
 # Time without new runs after a worker answered that it is unhealthy (s).
 UNHEALTHY_PAUSE_S = 0.5
 _FAILED_CALLS = frozenset(
-    {_model.StartResult.NOT_SENT, _model.StartResult.NO_ANSWER}
+    {
+        _model.StartResult.NOT_SENT,
+        _model.StartResult.UNIDENTIFIED,
+        _model.StartResult.NO_ANSWER,
+    }
 )
 
 
@@ -86,7 +90,15 @@
 def _start(node, link, order, spec, now):
     number = max(order.attempt, node.last_run_numbers.get(order.task, 0) + 1)
     _remember_number(node, order.task, number)
-    run = _runs.Run(order, spec, link, number, now, worker=node.worker.id)
+    run = _runs.Run(
+        order,
+        spec,
+        link,
+        number,
+        now,
+        worker=node.worker.id,
+        born=node.worker.born,
+    )
     node.runs[order.task] = run
     link.runs[order.seq] = run
     _capacity.update_usage(node, order)
@@ -115,6 +127,7 @@
         lease_ms=lease_ms,
         generation=node.generation,
         worker=run.worker,
+        born=run.born,
     )
 
 
@@ -220,6 +233,15 @@
     )
 
 
+def _on_other_incarnation(node, run, result, now):
+    """Refuse the run, and request the list of the incarnation that is back."""
+    node.count('starts_withheld')
+    out = [_ends.run_log_event(node, 'start_withheld', run, now)]
+    out += _refuse(node, run, result, now)
+    out += _requests.mark_unreachable(node, result.value, now)
+    return out + _requests.request_list_now(node, now)
+
+
 def _on_no_answer(node, run, result, now):
     """Repeat the start, a limited number of times."""
     out = [_ends.run_log_event(node, 'start_unanswered', run, now)]
@@ -250,6 +272,8 @@
     _model.StartResult.WITHDRAWN: _refuse,
     _model.StartResult.UNHEALTHY: _on_unhealthy,
     _model.StartResult.OTHER_WORKER: _refuse,
+    _model.StartResult.OTHER_INCARNATION: _on_other_incarnation,
+    _model.StartResult.UNIDENTIFIED: _refuse,
     _model.StartResult.INVALID: _refuse,
     _model.StartResult.NOT_SENT: _on_not_sent,
     _model.StartResult.NO_ANSWER: _on_no_answer,
--- a/azurepier/runner/_runs.py
+++ b/azurepier/runner/_runs.py
@@ -68,6 +68,8 @@
         Why the run was stopped; empty if it was not.
     worker : str
         Id of the worker to which the starts are addressed.
+    born : int
+        Start time of the incarnation that is to run it (ms since 1970).
     starts_resolved : bool
         Whether all starts that were sent have been carried out or refused.
     loss : Loss or None
@@ -95,6 +97,7 @@
     renewal_end_at: float = math.inf
     progress: object = attrs.field(factory=Progress)
     worker: str = ''
+    born: int = 0
     starts_resolved: bool = False
     loss: object = None
     fenced_from: int | None = None
--- a/tests/adapter/fakes.py
+++ b/tests/adapter/fakes.py
@@ -214,6 +214,10 @@
         Ended runs that the endpoint process has not acknowledged.
     start_reply : tuple of (int, dict) or None
         Status and body that replace the answer to all starts.
+    hold_reply : tuple of (int, dict) or None
+        Status and body that replace all lists.
+    silent : bool
+        Whether no request is answered.
     """
 
     born: int = 1_700_000_000_000
@@ -222,6 +226,8 @@
     ended: list = attrs.field(factory=list)
     end_count: int = 0
     start_reply: tuple | None = None
+    hold_reply: tuple | None = None
+    silent: bool = False
     requests: list = attrs.field(factory=list)
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
@@ -249,6 +255,9 @@
     async def handle(self, req):
         """Answer a request of the endpoint process."""
         self.requests.append(req)
+        if self.silent:
+            await asyncio.sleep(1.0)
+            return None
         return await _WORKER_HANDLERS[req.path](self, req.json())
 
     async def _start(self, body):
@@ -284,6 +293,9 @@
         return Reply({'clock_ms': self.clock_ms()})
 
     async def _hold(self, body):
+        if self.hold_reply is not None:
+            status, value = self.hold_reply
+            return Reply(value, status)
         acked = body.get('acked', 0)
         self.ended = [row for row in self.ended if row[0] > acked]
         if body.get('wait_ms') and not self.ended:
--- a/tests/adapter/test_operator.py
+++ b/tests/adapter/test_operator.py
@@ -175,7 +175,16 @@
     def __init__(self):
         self.requests = []
 
-    def request(self, method, path, data, headers, timeout_s, on_answer):
+    def request(
+        self,
+        method,
+        path,
+        data,
+        headers,
+        timeout_s,
+        on_answer,
+        identification=None,
+    ):
         self.requests.append(on_answer)
 
 
@@ -190,7 +199,7 @@
         total = _workers.MAX_CONCURRENT_STARTS + 3
         for index in range(total):
             client.start_run(
-                runner.StartRun(f't{index}', 1, 's', 1000, 1, 'w')
+                runner.StartRun(f't{index}', 1, 's', 1000, 1, 'w', 1)
             )
         assert len(pool.requests) == _workers.MAX_CONCURRENT_STARTS
         evacuated.append(True)
--- a/tests/adapter/test_worker_client.py
+++ b/tests/adapter/test_worker_client.py
@@ -3,13 +3,14 @@
 import asyncio
 import socket
 
-import attrs
-
 from adapter import _workers
+import attrs
+import fakes
 
 from azurepier.daemon import _http
 from azurepier import runner
 from azurepier import testing
+from standins import _server
 
 MAX_BYTES = 1024
 
@@ -55,7 +56,16 @@
     held: list = attrs.field(factory=list)
     sent: int = 0
 
-    def request(self, method, path, body, headers, timeout_s, on_response):
+    def request(
+        self,
+        method,
+        path,
+        body,
+        headers,
+        timeout_s,
+        on_response,
+        identification=None,
+    ):
         """Record a request; its answer is given by `answer_all`."""
         self.sent += 1
         self.held.append(on_response)
@@ -112,3 +122,141 @@
         _, _, _, requests = submit_more_starts_than_are_sent()
         requests.answer_all((200, b'{}'), None)
         assert requests.sent == 8
+
+
+@attrs.define(eq=False)
+class RestartingWorker:
+    """A worker that restarts at its address, and the client of its process.
+
+    Attributes
+    ----------
+    results : list of StartResult
+        Results of the starts so far.
+    withdrawn : bool
+        Whether the endpoint process withdraws starts.
+    """
+
+    worker: fakes.FakeWorker = attrs.field(factory=fakes.FakeWorker)
+    results: list = attrs.field(factory=list)
+    withdrawn: bool = False
+    server: object = None
+    client: object = None
+
+    async def listen(self):
+        """Start the worker and the client."""
+        self.server = await _server.start(self.worker.handle)
+        pool = _http.Pool('127.0.0.1', self.server.port, MAX_BYTES)
+        self.client = _workers.WorkerClient(
+            pool,
+            self._on_event,
+            asyncio.get_running_loop(),
+            may_start=lambda effect: not self.withdrawn,
+        )
+
+    async def restart(self):
+        """Replace the worker by its next incarnation, at the same address."""
+        await self.server.close()
+        self.worker = fakes.FakeWorker(born=self.worker.born + 1)
+        self.server = await _server.start(self.worker.handle, self.server.port)
+
+    async def start(self, task, born):
+        """Request a start for an incarnation; return its result."""
+        lease_ms = self.worker.clock_ms() + 600
+        effect = runner.StartRun(task, 1, '1000', lease_ms, 1, 'w', born)
+        done = len(self.results)
+        self.client.start_run(effect)
+        async with asyncio.timeout(5.0):
+            while len(self.results) == done:
+                await asyncio.sleep(0.001)
+        return self.results[-1]
+
+    def _on_event(self, event):
+        self.results.append(event.result)
+
+    def paths(self):
+        """Return the paths of the requests that the worker has received."""
+        return [req.path for req in self.worker.requests]
+
+
+def run_with_worker(play):
+    """Return the result of ``await play(worker)``."""
+
+    async def run():
+        worker = RestartingWorker()
+        await worker.listen()
+        try:
+            return await play(worker)
+        finally:
+            await worker.server.close()
+
+    return asyncio.run(run())
+
+
+class TestRestartedWorker:
+    def test_start_for_the_previous_incarnation(self):
+        """Guards against a start that a restarted worker takes for its own."""
+
+        async def play(worker):
+            born = worker.worker.born
+            assert await worker.start('t1', born) is runner.StartResult.STARTED
+            await worker.restart()
+            # The first start finds the connection closed.
+            results = [await worker.start(f't{n}', born) for n in (2, 3)]
+            assert worker.worker.started == {}
+            assert results[-1] is runner.StartResult.OTHER_INCARNATION
+            result = await worker.start('t4', born + 1)
+            assert result is runner.StartResult.STARTED
+
+        run_with_worker(play)
+
+    def test_restart_on_an_open_connection(self):
+        """Guards against an identity that outlives what the worker says.
+
+        A worker behind a proxy may restart while its connection stays open.
+        """
+
+        async def play(worker):
+            await worker.start('t1', worker.worker.born)
+            worker.worker.born += 1
+            result = await worker.start('t2', worker.worker.born)
+            assert result is runner.StartResult.STARTED
+            result = await worker.start('t3', worker.worker.born - 1)
+            assert result is runner.StartResult.OTHER_INCARNATION
+
+        run_with_worker(play)
+
+    def test_worker_is_identified_once(self):
+        """Guards against a list before each start."""
+
+        async def play(worker):
+            for number in range(5):
+                await worker.start(f't{number}', worker.worker.born)
+            return worker.paths()
+
+        assert run_with_worker(play) == ['/hold', *['/run-start'] * 5]
+
+    def test_list_is_not_answered(self):
+        """Guards against a start to a worker that nothing is known of."""
+
+        async def play(worker):
+            born = worker.worker.born
+            worker.worker.hold_reply = (503, {})
+            result = await worker.start('t1', born)
+            assert result is runner.StartResult.OTHER_INCARNATION
+            worker.worker.silent = True
+            result = await worker.start('t1', born)
+            assert result is runner.StartResult.UNIDENTIFIED
+            assert worker.worker.started == {}
+
+        run_with_worker(play)
+
+    def test_withdrawn_while_the_worker_is_identified(self):
+        """Guards against a start whose run was stopped meanwhile."""
+
+        async def play(worker):
+            worker.withdrawn = True
+            result = await worker.start('t1', worker.worker.born)
+            assert result is runner.StartResult.WITHDRAWN
+            assert worker.worker.started == {}
+
+        run_with_worker(play)
