Identify a worker's connections by an open one and by its lists

Cause: since each new connection takes a list before its first start. A worker that leaves half of its calls unanswered costs a connection for each of them, so that a start needed two answers, and refused runs were ordered again at once.

Change: a new connection belongs to the same incarnation as an identified one that is still open and has responded in the last 0.2 s, because a process closes its connections when it ends. The lists of runs identify their connections too, and starts prefer identified ones.

Ruled out: identification by lists alone, which leaves the cost.

--- a/azurepier/daemon/_http.py
+++ b/azurepier/daemon/_http.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import operator
 
 import attrs
 import httptools
@@ -18,6 +19,10 @@
 # sent on a connection that is being closed counts as sent, so that its task
 # would be lost.
 IDLE_TIMEOUT_S = 2.0
+# Time since its last response in which an open connection that is identified
+# shows that its server goes on (s). A server that loses power doesn't close
+# its connections, but takes longer to return.
+IDENTITY_MAX_AGE_S = 0.2
 # TCP retransmits a lost SYN only after one second; a new attempt reaches a
 # server that has just returned sooner.
 CONNECT_TIMEOUT_S = 0.4
@@ -64,7 +69,9 @@
 
     A server that was replaced at its address is found out before it receives
     a request that was meant for its predecessor. A connection ends with the
-    server that has accepted it, so that it is identified once.
+    server that has accepted it, so that it is identified once; and as long as
+    an identified one is open, newer ones belong to the same server. A server
+    that loses many answers thus needs no second request on each connection.
 
     Parameters
     ----------
@@ -84,6 +91,17 @@
     accepts: object
 
 
+@attrs.frozen
+class _Request:
+    """An encoded request with the parameters of `Pool.request`."""
+
+    data: bytes
+    timeout_s: float
+    on_response: object
+    identification: object
+    identify: object
+
+
 class _Connection(asyncio.Protocol):
     """A connection that carries one request at a time.
 
@@ -92,12 +110,15 @@
     Attributes
     ----------
     identity : object or None
-        What the server has shown on this connection.
+        Identity of the server that has accepted the connection, if known.
+    responded_at : float
+        Time of the last response (s).
     """
 
-    def __init__(self, max_response_bytes):
+    def __init__(self, max_response_bytes, open_conns):
         self.transport = None
         self.max_response_bytes = max_response_bytes
+        self.open_conns = open_conns
         self.parser = None
         self.received_bytes = 0
         self.status = 0
@@ -106,10 +127,12 @@
         self.idle_since = 0.0
         self.reusable = False
         self.identity = None
+        self.responded_at = 0.0
 
     def connection_made(self, transport):
         """Store the transport."""
         self.transport = transport
+        self.open_conns.add(self)
 
     def send(self, request, on_response):
         """Send a request; ``on_response(response, error)`` is called once."""
@@ -174,9 +197,13 @@
 
     def connection_lost(self, exc):
         """Fail the pending request."""
+        self.open_conns.discard(self)
         self._fail(ResponseError(str(exc or 'the connection was closed')))
 
 
+_responded_at = operator.attrgetter('responded_at')
+
+
 @attrs.define(eq=False)
 class Pool:
     """Pool of connections to one server.
@@ -197,6 +224,7 @@
     idle_timeout_s: float = IDLE_TIMEOUT_S
     _idle: collections.deque = attrs.field(factory=collections.deque)
     _connecting: set = attrs.field(factory=set)
+    _open: set = attrs.field(factory=set)
 
     async def call(self, method, path, body=b'', headers=None):
         """Send a request once, without retries, and wait for its response.
@@ -253,6 +281,7 @@
         timeout_s,
         on_response,
         identification=None,
+        identify=None,
     ):
         """Send a request once, without retries; pass the result to a callback.
 
@@ -273,62 +302,63 @@
             The request is sent only on a connection whose server this accepts;
             otherwise it fails with `OtherServerError`, or with
             `UnidentifiedError` if the identification has no answer.
+        identify : callable, optional
+            ``identify(response)`` returns the identity that the response to
+            the request shows, before `on_response` is called.
         """
-        request = self._encode(method, path, body, headers)
+        request = _Request(
+            self._encode(method, path, body, headers),
+            timeout_s,
+            on_response,
+            identification,
+            identify,
+        )
         loop = asyncio.get_running_loop()
-        conn = self._take_idle_connection()
+        conn = self._take_idle_connection(identification)
         if conn is None:
-            task = loop.create_task(
-                self._connect_and_send(
-                    request, timeout_s, on_response, identification
-                )
-            )
+            task = loop.create_task(self._connect_and_send(request))
             self._connecting.add(task)
             task.add_done_callback(self._connecting.discard)
             return
-        deadline = loop.time() + timeout_s
-        self._identify_and_send(
-            conn, request, deadline, timeout_s, on_response, identification
-        )
+        self._identify_and_send(conn, request, loop.time() + timeout_s)
 
-    async def _connect_and_send(
-        self, request, timeout_s, on_response, identification
-    ):
-        deadline = asyncio.get_running_loop().time() + timeout_s
+    async def _connect_and_send(self, request):
+        deadline = asyncio.get_running_loop().time() + request.timeout_s
         try:
             async with asyncio.timeout_at(deadline):
                 conn = await self._connect()
         except TimeoutError:
-            on_response(None, NotSentError('no connection in time'))
+            request.on_response(None, NotSentError('no connection in time'))
         except NotSentError as exc:
-            on_response(None, exc)
+            request.on_response(None, exc)
         else:
-            self._identify_and_send(
-                conn, request, deadline, timeout_s, on_response, identification
-            )
+            self._identify_and_send(conn, request, deadline)
 
-    def _identify_and_send(
-        self, conn, request, deadline, timeout_s, on_response, identification
-    ):
+    def _identify_and_send(self, conn, request, deadline):
         """Send a request, after an identification if that is required."""
-        if identification is None or identification.accepts(conn.identity):
-            self._send(conn, request, deadline, on_response)
+        identification = request.identification
+        if identification is None:
+            self._send(conn, request, deadline)
+            return
+        if conn.identity is None:
+            conn.identity = self._find_identity()
+        if identification.accepts(conn.identity):
+            self._send(conn, request, deadline)
             return
 
         def on_identified(response, error):
             if error is not None:
                 reason = str(error) or 'no answer in time'
-                on_response(None, UnidentifiedError(reason))
+                request.on_response(None, UnidentifiedError(reason))
                 return
             conn.identity = identification.identify(response)
             if not conn.reusable or not identification.accepts(conn.identity):
                 self._release(conn)
-                on_response(
-                    None, OtherServerError(f'the server is {conn.identity}')
-                )
+                error = OtherServerError(f'the server is {conn.identity}')
+                request.on_response(None, error)
                 return
-            deadline = asyncio.get_running_loop().time() + timeout_s
-            self._send(conn, request, deadline, on_response)
+            now = asyncio.get_running_loop().time()
+            self._send(conn, request, now + request.timeout_s)
 
         identifying = self._encode(
             identification.method,
@@ -338,16 +368,31 @@
         )
         self._exchange(conn, identifying, deadline, on_identified)
 
-    def _send(self, conn, request, deadline, on_response):
+    def _find_identity(self):
+        """Return the identity that an open connection has shown lately."""
+        since = asyncio.get_running_loop().time() - IDENTITY_MAX_AGE_S
+        identified = [
+            conn
+            for conn in self._open
+            if conn.identity is not None
+            and conn.responded_at >= since
+            and not conn.transport.is_closing()
+        ]
+        latest = max(identified, key=_responded_at, default=None)
+        return None if latest is None else latest.identity
+
+    def _send(self, conn, request, deadline):
         def on_complete(response, error):
             if error is None:
+                if request.identify is not None:
+                    conn.identity = request.identify(response)
                 self._release(conn)
-            on_response(response, error)
+            request.on_response(response, error)
 
-        self._exchange(conn, request, deadline, on_complete)
+        self._exchange(conn, request.data, deadline, on_complete)
 
-    def _exchange(self, conn, request, deadline, on_response):
-        """Send a request on a connection, which isn't released afterwards."""
+    def _exchange(self, conn, data, deadline, on_response):
+        """Send data on a connection, which isn't released afterwards."""
 
         def on_timeout():
             conn.abort()
@@ -357,9 +402,11 @@
 
         def on_complete(response, error):
             timer.cancel()
+            if error is None:
+                conn.responded_at = asyncio.get_running_loop().time()
             on_response(response, error)
 
-        conn.send(request, on_complete)
+        conn.send(data, on_complete)
 
     def _encode(self, method, path, body, headers):
         header_lines = ''.join(
@@ -377,7 +424,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, conn = await loop.create_connection(
-                    lambda: _Connection(self.max_response_bytes),
+                    lambda: _Connection(self.max_response_bytes, self._open),
                     self.host,
                     self.port,
                 )
@@ -386,8 +433,19 @@
             raise NotSentError(reason) from exc
         return conn
 
-    def _take_idle_connection(self):
+    def _take_idle_connection(self, identification=None):
+        """Return an idle connection, one that is identified if possible."""
         now = asyncio.get_running_loop().time()
+        if identification is not None:
+            for conn in reversed(self._idle):
+                fresh = now - conn.idle_since < self.idle_timeout_s
+                if (
+                    fresh
+                    and conn.reusable
+                    and identification.accepts(conn.identity)
+                ):
+                    self._idle.remove(conn)
+                    return conn
         while self._idle:
             conn = self._idle.pop()
             fresh = now - conn.idle_since < self.idle_timeout_s
--- a/azurepier/daemon/tests/test_http.py
+++ b/azurepier/daemon/tests/test_http.py
@@ -27,7 +27,7 @@
     data = head + body
 
     results = []
-    conn = _http._Connection(max_response_bytes)
+    conn = _http._Connection(max_response_bytes, set())
     conn.connection_made(_Transport())
     conn.send(
         b'request', lambda response, error: results.append((response, error))
--- a/tests/adapter/test_operator.py
+++ b/tests/adapter/test_operator.py
@@ -184,6 +184,7 @@
         timeout_s,
         on_answer,
         identification=None,
+        identify=None,
     ):
         self.requests.append(on_answer)
 
--- a/tests/adapter/test_worker_client.py
+++ b/tests/adapter/test_worker_client.py
@@ -65,6 +65,7 @@
         timeout_s,
         on_response,
         identification=None,
+        identify=None,
     ):
         """Record a request; its answer is given by `answer_all`."""
         self.sent += 1
@@ -161,14 +162,20 @@
 
     async def start(self, task, born):
         """Request a start for an incarnation; return its result."""
+        await self.start_all([task], born)
+        return self.results[-1]
+
+    async def start_all(self, tasks, born):
+        """Request starts at the same time, and wait for their results."""
         lease_ms = self.worker.clock_ms() + 600
-        effect = runner.StartRun(task, 1, '1000', lease_ms, 1, 'w', born)
-        done = len(self.results)
-        self.client.start_run(effect)
+        expected = len(self.results) + len(tasks)
+        for task in tasks:
+            self.client.start_run(
+                runner.StartRun(task, 1, '1000', lease_ms, 1, 'w', born)
+            )
         async with asyncio.timeout(5.0):
-            while len(self.results) == done:
+            while len(self.results) < expected:
                 await asyncio.sleep(0.001)
-        return self.results[-1]
 
     def _on_event(self, event):
         self.results.append(event.result)
@@ -235,6 +242,36 @@
 
         assert run_with_worker(play) == ['/hold', *['/run-start'] * 5]
 
+    def test_new_connections_beside_an_identified_one(self):
+        """Guards against a list on each connection of a sound worker."""
+
+        async def play(worker):
+            born = worker.worker.born
+            await worker.start('t0', born)
+            await worker.start_all(['t1', 't2', 't3'], born)
+            paths = worker.paths()
+            assert len(worker.server.connections) == 3
+            assert paths == ['/hold', *['/run-start'] * 4]
+
+        run_with_worker(play)
+
+    def test_new_connection_after_a_silence(self):
+        """Guards against an open connection to a worker without power."""
+
+        async def play(worker):
+            born = worker.worker.born
+            await worker.start('t0', born)
+            await asyncio.sleep(2 * _http.IDENTITY_MAX_AGE_S)
+            worker.worker.silent = True
+            # The first one takes the idle connection.
+            await worker.start_all(['t1', 't2'], born)
+            return worker.results[1:]
+
+        assert run_with_worker(play) == [
+            runner.StartResult.NO_ANSWER,
+            runner.StartResult.UNIDENTIFIED,
+        ]
+
     def test_list_is_not_answered(self):
         """Guards against a start to a worker that nothing is known of."""
 
