Shorten the client's identification of connections

No change of behaviour: the tests of the client, the HTTP pool and unsuitable workers pass as before.

--- a/azurepier/daemon/_http.py
+++ b/azurepier/daemon/_http.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import collections
-import operator
 
 import attrs
 import httptools
@@ -201,9 +200,6 @@
         self._fail(ResponseError(str(exc or 'the connection was closed')))
 
 
-_responded_at = operator.attrgetter('responded_at')
-
-
 @attrs.define(eq=False)
 class Pool:
     """Pool of connections to one server.
@@ -371,15 +367,15 @@
     def _find_identity(self):
         """Return the identity that an open connection has shown lately."""
         since = asyncio.get_running_loop().time() - IDENTITY_MAX_AGE_S
-        identified = [
-            conn
+        identified = (
+            (conn.responded_at, conn.identity)
             for conn in self._open
             if conn.identity is not None
             and conn.responded_at >= since
             and not conn.transport.is_closing()
-        ]
-        latest = max(identified, key=_responded_at, default=None)
-        return None if latest is None else latest.identity
+        )
+        _, identity = max(identified, default=(since, None))
+        return identity
 
     def _send(self, conn, request, deadline):
         def on_complete(response, error):
@@ -434,7 +430,7 @@
         return conn
 
     def _take_idle_connection(self, identification=None):
-        """Return an idle connection, one that is identified if possible."""
+        """Return an idle connection, preferably one that is identified."""
         now = asyncio.get_running_loop().time()
         if identification is not None:
             for conn in reversed(self._idle):
--- a/azurepier/runner/_model.py
+++ b/azurepier/runner/_model.py
@@ -16,7 +16,7 @@
     UNHEALTHY = 'unhealthy'
     OTHER_WORKER = 'other_worker'  # a worker with another id answered
     OTHER_INCARNATION = 'other_incarnation'  # not sent to a restarted worker
-    UNIDENTIFIED = 'unidentified'  # not sent, as no list was answered before
+    UNIDENTIFIED = 'unidentified'  # not sent, the list before had no answer
     INVALID = 'invalid'
     NOT_SENT = 'not_sent'
     WITHDRAWN = 'evacuated'  # not sent, since the domain was evacuated
@@ -176,8 +176,8 @@
         Id of the intended worker; empty if it is not known.
     born : int
         Start time of the intended incarnation (ms since 1970). The start is
-        sent only on a connection on which a list has shown it, so that a
-        worker that has restarted under its id doesn't receive it.
+        sent only on a connection that this incarnation has accepted, so that
+        a worker that has restarted under its id doesn't receive it.
     """
 
     task: str
