--- a/tests/adapter/mixed_fleet/_callers.py
+++ b/tests/adapter/mixed_fleet/_callers.py
@@ -42,6 +42,8 @@
     ----------
     prefixes : list of str
         Path prefixes of the queues that may be used.
+    labels : list of str
+        Labels that jobs may require; '' for none.
     ended : bool
         Whether no new jobs are submitted.
     """
@@ -49,6 +51,7 @@
     fleet: _fleet.Fleet
     seed: int
     prefixes: list
+    labels: list = attrs.field(factory=lambda: [''])
     ended: bool = False
 
 
@@ -75,6 +78,9 @@
             'mem_mb': 8,
             'estimate_ms': run_ms,
         }
+        label = rng.choice(traffic.labels)
+        if label:
+            spec['label'] = step['requirements'] = label
         body = json.dumps(
             {'spec': json.dumps(spec), 'best_effort': True, 'steps': [step]}
         ).encode()
--- a/tests/adapter/mixed_fleet/_fleet.py
+++ b/tests/adapter/mixed_fleet/_fleet.py
@@ -81,7 +81,7 @@
 
 @attrs.define(eq=False)
 class Fleet:
-    """Three entries and three endpoint processes with a worker each.
+    """Entries, and endpoint processes with a worker each.
 
     Entries have seeds. Endpoint processes have none, so that they find the
     entries only by what these have registered in the store.
@@ -107,18 +107,24 @@
         return [m for m in self.machines if m.role == 'endpoint']
 
 
-def make_fleet(folder, record, builds):
-    """Return a fleet whose addresses belong to this process alone."""
+def make_fleet(folder, record, builds, sizes=(3, 3)):
+    """Return a fleet whose addresses belong to this process alone.
+
+    `sizes` has the numbers of entries and of endpoint processes.
+    """
     fleet = Fleet(folder, record, builds)
     prefix = fakes.loopback_network()
-    for number, domain in enumerate(DOMAINS):
-        for role, offset in (('entry', 10), ('endpoint', 20)):
+    roles = zip(('entry', 'endpoint'), (10, 100), sizes)
+    for role, offset, size in roles:
+        for number in range(size):
+            domain = DOMAINS[number % len(DOMAINS)]
+            name = f'{domain}{number // len(DOMAINS) or ""}'
             machine = Machine(
-                role, f'{role}-{domain}', f'{prefix}.{offset + number}', domain
+                role, f'{role}-{name}', f'{prefix}.{offset + number}', domain
             )
             if role == 'endpoint':
                 machine.worker = _worker.LeasedWorker(
-                    name=f'worker-{domain}', record=record
+                    name=f'worker-{name}', record=record
                 )
             fleet.machines.append(machine)
     return fleet
--- a/tests/adapter/mixed_fleet/_operator.py
+++ b/tests/adapter/mixed_fleet/_operator.py
@@ -64,6 +64,11 @@
     fleet.store.put(CONFIG_KEY, _config(7, [COMMON_PREFIX, BEFORE_PREFIX]))
 
 
+def write_config(fleet, version, prefix):
+    """Write a configuration with the common queue and another one."""
+    fleet.store.put(CONFIG_KEY, _config(version, [COMMON_PREFIX, prefix]))
+
+
 def _cut_entry(state):
     """Cut an entry off from the store.
 
--- a/tests/adapter/mixed_fleet/_worker.py
+++ b/tests/adapter/mixed_fleet/_worker.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 
 import attrs
 import fakes
@@ -39,6 +40,8 @@
         `Run` by (task, number).
     highest : dict
         Highest run number that was stopped or ended, by task.
+    kind : str
+        Label of the worker; a spec may require one (`label`).
     """
 
     name: str = ''
@@ -48,16 +51,33 @@
     lease_ms: int = 0
     runs: dict = attrs.field(factory=dict)
     highest: dict = attrs.field(factory=dict)
+    kind: str = 'a'
+
+    def restart(self, kind):
+        """Begin a new incarnation, which knows nothing of the one before."""
+        for task, number in list(self.runs):
+            del self.runs[task, number]
+            _record.on_end(self.record, self.name, task, number, 'lost')
+        self.born = max(int(time.time() * 1000), self.born + 1)
+        self.fence = self.lease_ms = self.end_count = 0
+        self.highest.clear()
+        self.ended = []
+        self.kind = kind
+        self.silent = False
 
     def report(self, sequence):
         """Return the body of a heartbeat."""
         return {
             **super().report(sequence),
             'capacity': {'cpu': CPU, 'mem_mb': 4096, 'gpu': 0},
+            'labels': [self.kind],
         }
 
     async def handle(self, req):
         """Answer a request of the endpoint process."""
+        if self.silent:
+            await asyncio.sleep(1.0)
+            return None
         body = req.json()
         if body['fence_token'] < self.fence:
             return self._refuse('fence')
@@ -92,6 +112,12 @@
                 'limit',
                 f'{task} started on {self.name} beside {len(self.runs)} runs',
             )
+        if spec.get('label', self.kind) != self.kind:
+            _record.violate(
+                self.record,
+                'label',
+                f'{task} started on {self.name}, which is {self.kind}',
+            )
         loop = asyncio.get_running_loop()
         _record.on_start(self.record, self.name, task, number)
         self.last_start_at = loop.time()
--- /dev/null
+++ b/tests/adapter/test_process_soak.py
@@ -0,0 +1,14 @@
+"""Short run of the soak with real processes; see `process_soak`."""
+
+import process_soak
+import pytest
+
+
+class TestRandomFaults:
+    @pytest.mark.parametrize('seed', [1, 2])
+    def test_workers_see_no_violation(self, seed, tmp_path):
+        """Guards against second runs and unsuitable starts under faults."""
+        record, faults = process_soak.run(tmp_path, (3, 6, 8), 12.0, seed)
+        assert record.violations == []
+        assert record.ended['done'] > 100
+        assert faults['return_worker'] and faults['send_foreign_heartbeat']
