--- a/tests/adapter/process_soak.py
+++ b/tests/adapter/process_soak.py
@@ -242,6 +242,8 @@
     parser.add_argument('first', type=int)
     parser.add_argument('last', type=int)
     args = parser.parse_args()
+    # Ends the processes also if the soak is asked to stop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     broken = 0
     for seed in range(args.first, args.last + 1):
         folder = pathlib.Path(tempfile.mkdtemp(prefix='process_soak.'))
