Test the identification of connections in the HTTP client

The tests of the worker's client cover it with the platform's adapter; these show it for the pool of connections alone: the intended server, another one, and none that answers.

--- a/azurepier/daemon/tests/test_http.py
+++ b/azurepier/daemon/tests/test_http.py
@@ -145,3 +145,52 @@
 
         _, error = asyncio.run(run())
         assert isinstance(error, _http.NotSentError)
+
+
+class TestIdentification:
+    def send(self, expected, *responses):
+        """Return the error of a request, and the responses left over."""
+        left = iter(responses)
+        identification = _http.Identification(
+            'GET',
+            '/name',
+            b'',
+            lambda response: response[1].decode(),
+            lambda identity: identity == expected,
+        )
+
+        async def run():
+            server = await serve(left)
+            pool = _http.Pool(*server.sockets[0].getsockname(), 1000)
+            fut = asyncio.get_running_loop().create_future()
+            pool.request(
+                'POST',
+                '/x',
+                b'{}',
+                {},
+                0.3,
+                lambda response, error: fut.set_result(error),
+                identification,
+            )
+            error = await fut
+            pool.close()
+            server.close()
+            return error
+
+        return asyncio.run(run()), list(left)
+
+    def test_intended_server(self):
+        """Guards against a request that its own server doesn't get."""
+        assert self.send('{}', OK, OK) == (None, [])
+
+    def test_other_server(self):
+        """Guards against a request to the successor of its server."""
+        error, left = self.send('a', OK, OK)
+        assert isinstance(error, _http.OtherServerError)
+        assert left == [OK]
+
+    def test_no_answer(self):
+        """Guards against a request to a server that nothing is known of."""
+        error, left = self.send('a', None, OK)
+        assert isinstance(error, _http.UnidentifiedError)
+        assert left == [OK]
