Split the connection from the pool of the HTTP client

`_http_connection` has one connection and the errors of its requests, `_http` the pool and the identification of servers. No change of behaviour: the tests of the daemon, the worker's client and the store's client pass as before.

--- a/azurepier/daemon/tests/test_http.py
+++ b/azurepier/daemon/tests/test_http.py
@@ -5,6 +5,7 @@
 import pytest
 
 from azurepier.daemon import _http
+from azurepier.daemon import _http_connection
 
 
 class _Transport:
@@ -27,7 +28,7 @@
     data = head + body
 
     results = []
-    conn = _http._Connection(max_response_bytes, set())
+    conn = _http_connection.Connection(max_response_bytes, set())
     conn.connection_made(_Transport())
     conn.send(
         b'request', lambda response, error: results.append((response, error))
