Log what is received of a text before it is given up

An incident can't be told from the logs: how large a configuration is, how much of it had arrived when a connection was closed as silent or a watch was given up, and what failed after the first failure of a dependency.

No logic changes.

--- a/azurepier/daemon/_http.py
+++ b/azurepier/daemon/_http.py
@@ -83,12 +83,18 @@
         Longest response that is accepted, including its head.
     idle_timeout_s : float
         Connections that were idle for longer are not reused.
+
+    Attributes
+    ----------
+    abandoned_bytes : int
+        Bytes received of responses that `call` did not wait for any longer.
     """
 
     host: str
     port: int
     max_response_bytes: int
     idle_timeout_s: float = IDLE_TIMEOUT_S
+    abandoned_bytes: int = 0
     _idle: collections.deque = attrs.field(factory=collections.deque)
     _connecting: set = attrs.field(factory=set)
     _open: set = attrs.field(factory=set)
@@ -134,6 +140,7 @@
         try:
             response = await response_future
         except BaseException:
+            self.abandoned_bytes += conn.received_bytes
             conn.abort()
             raise
         self._release(conn)
--- a/azurepier/daemon/_pool_metrics.py
+++ b/azurepier/daemon/_pool_metrics.py
@@ -57,6 +57,12 @@
             'Tasks that wait to be started again.',
             len(self.supervisor.awaiting_restart),
         )
+        for direction in ('sent', 'received'):
+            yield core.CounterMetricFamily(
+                f'azurepier_{direction}_bytes',
+                f'Bytes {direction} on connections between processes.',
+                getattr(self.shell.hooks.traffic, f'{direction}_bytes'),
+            )
         yield core.CounterMetricFamily(
             'azurepier_messages_ignored',
             'Messages of types that this build does not know.',
--- a/azurepier/daemon/_shell.py
+++ b/azurepier/daemon/_shell.py
@@ -321,6 +321,11 @@
 def _abort(shell, effect):
     conn = shell.conns.pop(effect.conn, None)
     if conn is not None:
+        _log.info(
+            'connection_aborted',
+            address=conn.peer,
+            incomplete_bytes=conn.incomplete_bytes,
+        )
         conn.abort('aborted by the node')
 
 
--- a/azurepier/dispatch/_config.py
+++ b/azurepier/dispatch/_config.py
@@ -55,6 +55,7 @@
         'source': event.source,
         'revision': event.revision,
         'heard_ms': round((now - node.config_heard_at) * MS_PER_S),
+        'bytes': len(routing.body),
     }
     out.append(effects.Log('config_applied', fields))
     for peer in node.peers.values():
@@ -101,6 +102,7 @@
         'version': version,
         'entry': peer.name,
         'attempt': peer.offer_count,
+        'bytes': len(update.body),
     }
     return [
         effects.Log('config_offered', fields),
--- a/azurepier/wire/_connection.py
+++ b/azurepier/wire/_connection.py
@@ -137,6 +137,11 @@
         """Whether messages can be sent."""
         return self._phase is _Phase.CONNECTED
 
+    @property
+    def incomplete_bytes(self):
+        """Number of received bytes of a message that isn't complete."""
+        return self._splitter.pending_bytes
+
     def send(self, msg):
         """Send a message.
 
