Add failing tests of changes over slow and delayed links

The network in memory gets links with bandwidth and delay per host, segments and a window, so that copies of a large configuration compete as they do on the deployments. Without such links it behaves as before.

--- a/azurepier/testing/_virtual_loop.py
+++ b/azurepier/testing/_virtual_loop.py
@@ -7,7 +7,9 @@
 """
 
 import asyncio
+import collections
 import contextvars
+import math
 import selectors
 
 import attrs
@@ -15,6 +17,12 @@
 # Address of the host that runs the current task or callback.
 HOST = contextvars.ContextVar('host', default='')
 DELAY_S = 0.001
+# Data travels in segments, and so many bytes of a connection are on their way
+# at most, as with the small windows of short connections.
+SEGMENT_BYTES = 16 * 1024
+WINDOW_BYTES = 64 * 1024
+# Size of a packet without data.
+PACKET_BYTES = 60
 
 
 class _Selector(selectors.DefaultSelector):
@@ -37,6 +45,30 @@
     now: float = 0.0
 
 
+@attrs.define(eq=False)
+class Link:
+    """Connection of a host to the network.
+
+    Parameters
+    ----------
+    bytes_per_s : float
+        Bandwidth in each direction.
+    delay_s : float
+        Delay of each packet in each direction (s), added to `DELAY_S`.
+    """
+
+    bytes_per_s: float = math.inf
+    delay_s: float = 0.0
+    _free_at: dict = attrs.field(factory=dict)
+
+    def transmit(self, direction, nbytes, start_at):
+        """Return when a packet has passed that starts no earlier (s)."""
+        start_at = max(start_at, self._free_at.get(direction, 0.0))
+        end_at = start_at + nbytes / self.bytes_per_s
+        self._free_at[direction] = end_at
+        return end_at + self.delay_s
+
+
 @attrs.define(eq=False)
 class ListeningSocket:
     """Stands for a listening socket; port 0 selects a free port."""
@@ -92,6 +124,9 @@
         self.silent = False
         self.closed = False
         self._arrives_at = 0.0
+        self._unsent = collections.deque()
+        self._in_flight = 0
+        self._ending = False
 
     def _call(self, delay_s, function, *args):
         self.loop.call_at(
@@ -104,19 +139,46 @@
         self.loop.transports.add(self)
         protocol.connection_made(self)
 
-    def _send(self, function, *args):
+    def _send(self, nbytes, function, *args):
         """Call a function of the other end, in the order of sending."""
         if self.silent or self.loop.is_cut(self.host, self.other.host):
             self.silent = True
             return
-        arrives_at = max(self.loop.time() + DELAY_S, self._arrives_at)
+        arrives_at = max(
+            self.loop.arrival(self.host, self.other.host, nbytes),
+            self._arrives_at,
+        )
         self._arrives_at = arrives_at
         self.other._call(arrives_at - self.loop.time(), function, *args)
 
     def write(self, data):
         """Send data to the other end."""
-        if not self.closed:
-            self._send(self.other._receive, bytes(data))
+        if self.closed or self._ending:
+            return
+        data = bytes(data)
+        for start in range(0, len(data), SEGMENT_BYTES):
+            self._unsent.append(data[start : start + SEGMENT_BYTES])
+        self._send_segments()
+
+    def _send_segments(self):
+        """Send what the window allows, then the end of the connection."""
+        while self._unsent and not self.closed:
+            size = len(self._unsent[0])
+            if self._in_flight and self._in_flight + size > WINDOW_BYTES:
+                return
+            self._in_flight += size
+            self._send(size, self.other._deliver, self._unsent.popleft())
+        if self._ending and not self.closed:
+            self._end()
+
+    def _deliver(self, data):
+        """Receive a segment, and tell the sender that it has arrived."""
+        self._send(PACKET_BYTES, self.other._on_delivered, len(data))
+        self._receive(data)
+
+    def _on_delivered(self, nbytes):
+        self._in_flight -= nbytes
+        self._send_segments()
 
     def _receive(self, data):
         if self.closed:
@@ -137,12 +199,21 @@
             self.protocol.connection_lost(exc)
 
     def close(self):
-        """Close the connection."""
+        """Close the connection after the data that is still to be sent."""
         if not self.closed:
-            self._send(self.other._lose)
-            self._call(0.0, self._lose)
+            self._ending = True
+            self._send_segments()
 
-    abort = close
+    def abort(self):
+        """Close the connection at once."""
+        if not self.closed:
+            self._unsent.clear()
+            self._end()
+
+    def _end(self):
+        self._ending = True
+        self._send(PACKET_BYTES, self.other._lose)
+        self._call(0.0, self._lose)
 
     def reset(self):
         """Break the connection, as the network does."""
@@ -151,12 +222,12 @@
             end._call(0.0, end._lose, error)
 
     def is_closing(self):
-        """Return whether the connection is closed."""
-        return self.closed
+        """Return whether the connection is closed or being closed."""
+        return self.closed or self._ending
 
     def get_write_buffer_size(self):
-        """Return 0, since all data is sent at once."""
-        return 0
+        """Return the number of bytes that wait for the window."""
+        return sum(map(len, self._unsent))
 
     def set_write_buffer_limits(self, high=None, low=None):
         """Ignore the limits."""
@@ -182,6 +253,8 @@
         something was sent meanwhile stays silent.
     tasks : dict of str to list of asyncio.Task
         Tasks by host.
+    links : dict of str to Link
+        Links by host; the others are neither slow nor delayed.
     """
 
     def __init__(self):
@@ -191,6 +264,7 @@
         self.transports = set()
         self.cuts = set()
         self.tasks = {}
+        self.links = {}
         self._last_port = 30_000
 
     def time(self):
@@ -212,6 +286,14 @@
         """Return whether two hosts can't reach each other."""
         return frozenset((host, other)) in self.cuts
 
+    def arrival(self, source, target, nbytes):
+        """Return when a packet arrives that a host sends now (s)."""
+        at = self.time() + DELAY_S
+        for host, direction in ((source, 'out'), (target, 'in')):
+            if host in self.links:
+                at = self.links[host].transmit(direction, nbytes, at)
+        return at
+
     def connections(self, host, other=None):
         """Return the ends at a host, of connections to another or to all."""
         return [
@@ -237,7 +319,9 @@
     async def create_connection(self, factory, host=None, port=None, **_):
         """Connect to a server in memory; wait for ever across a cut."""
         source = HOST.get()
-        await asyncio.sleep(2 * DELAY_S)
+        for path in ((source, host), (host, source)):
+            arrives_at = self.arrival(*path, PACKET_BYTES)
+            await asyncio.sleep(arrives_at - self.time())
         if self.is_cut(source, host):
             await self.create_future()
         server = self.servers.get((host, port))
--- a/tests/adapter/test_config_propagation.py
+++ b/tests/adapter/test_config_propagation.py
@@ -152,3 +152,57 @@
                 assert entry.version == fleet.version
 
         virtual_loop.run(play)
+
+
+def slow_down(fleet, names, link):
+    """Give entries links of their own."""
+    for name in names:
+        link_copy = virtual_loop.Link(link.bytes_per_s, link.delay_s)
+        fleet.loop.links[fleet.entries[name].host] = link_copy
+
+
+class TestSlowLinks:
+    @pytest.mark.parametrize('text_bytes', [300_000, 600_000, 900_000])
+    def test_copies_of_a_text_fill_the_link(self, text_bytes):
+        """Guards against copies that are sent again before they have arrived.
+
+        Entries on the slowest links of a deployment never got a configuration
+        that had grown, and no later one.
+        """
+
+        async def play():
+            async with virtual_fleet.running_fleet(seed=1, size=12) as fleet:
+                fleet.contact_s, fleet.apply_s = 4.0, 3.0
+                link = virtual_loop.Link(bytes_per_s=9.5e6 / 8)
+                slow_down(fleet, ['e1', 'e5', 'e9'], link)
+                fleet.text_bytes = text_bytes
+                for _ in range(3):
+                    fleet.change()
+                    await asyncio.sleep(7.0)
+                return fleet.violations
+
+        assert not virtual_loop.run(play)
+
+
+class TestDelayedLinks:
+    @pytest.mark.parametrize('delay_s', [0.12, 0.19, 0.24, 0.3])
+    def test_new_connections_over_a_delayed_link(self, delay_s):
+        """Guards against attempts that all end before the answer arrives.
+
+        An entry that had lost its connections opened none again while its
+        round trips took longer than the limit of each attempt.
+        """
+
+        async def play():
+            async with virtual_fleet.running_fleet(seed=1, size=12) as fleet:
+                fleet.contact_s, fleet.apply_s = 4.0, 3.0
+                link = virtual_loop.Link(delay_s=delay_s)
+                slow_down(fleet, ['e1'], link)
+                await asyncio.sleep(5.0)
+                fleet.silence(fleet.entries['e1'])
+                for _ in range(4):
+                    fleet.change()
+                    await asyncio.sleep(4.0)
+                return fleet.violations
+
+        assert not virtual_loop.run(play)
--- a/tests/adapter/virtual_fleet.py
+++ b/tests/adapter/virtual_fleet.py
@@ -33,15 +33,17 @@
 STORE_HOST = '10.200.1.7'
 
 
-def config_body(version):
-    """Return a configuration with one route."""
+def config_body(version, text_bytes=0):
+    """Return a configuration with one route, of a minimum size."""
     route = {
         'name': 'r',
         'hostname': 'h',
         'path_prefix': f'/v{version}/',
         'service': 'pool',
     }
-    return orjson.dumps({'version': version, 'routes': [route]})
+    cfg = {'version': version, 'routes': [route]}
+    # An unknown field, which is ignored.
+    return orjson.dumps(cfg | {'filler': 'x' * text_bytes})
 
 
 @attrs.define(eq=False)
@@ -82,6 +84,11 @@
     worst_recovery_s : float
         Longest time until a change was in force at an entry that ran, counted
         from the change or the end of the latest disturbance (s).
+    text_bytes : int
+        Minimum size of the configurations.
+    contact_s, apply_s : float
+        Time without a disturbance after which an entry has to follow changes,
+        and time in which it has to (s).
     """
 
     loop: object
@@ -97,6 +104,9 @@
     worst_recovery_s: float = 0.0
     held_watches: asyncio.Event | None = None
     version: int = 0
+    text_bytes: int = 0
+    contact_s: float = CONTACT_S
+    apply_s: float = APPLY_S
 
     def disturb(self, *hosts, for_s=0.0):
         """Note a disturbance of hosts that lasts for some time from now."""
@@ -107,7 +117,9 @@
     def change(self):
         """Write a configuration, as the operator does."""
         self.version += self.rng.randint(1, 4)
-        self.store.put(_store.CONFIG_KEY, config_body(self.version))
+        self.store.put(
+            _store.CONFIG_KEY, config_body(self.version, self.text_bytes)
+        )
         self.acknowledged.append((self.loop.time(), self.version))
 
     async def _handle(self, host, req):
@@ -215,11 +227,11 @@
         )
         recovery_s = now - max(changed_at, calm_since)
         self.worst_recovery_s = max(self.worst_recovery_s, recovery_s)
-        if now - calm_since < CONTACT_S:
+        if now - calm_since < self.contact_s:
             return
         lag_s = now - changed_at
         self.worst_lag_s = max(self.worst_lag_s, lag_s)
-        if lag_s > APPLY_S:
+        if lag_s > self.apply_s:
             self.violations.append(
                 f'{now:.2f} s: {entry.name} has {entry.version}, but '
                 f'{version} was acknowledged {lag_s:.2f} s before'
