Let entries ask one entry at a time for a configuration

Up to five copies of 561 kB, beside 748 kB of the store, took a link of 9.5 Mbit/s longer than a connection may be silent (1.25 s). It was closed with 150 to 390 kB of the text received, and the next one got the text from its start.

Entries of earlier builds, which don't say that they ask, are sent the whole text as before.

--- a/azurepier/dispatch/_config.py
+++ b/azurepier/dispatch/_config.py
@@ -1,22 +1,24 @@
 """Versions of the operator's configuration at an entry.
 
 Load pattern: a dozen changes a minute, of which every entry has to know within
-seconds. An entry learns of a version from the store, and from the other
-entries while it is cut off from the store; it passes on what it applies.
+seconds. An entry gets a version from the store, and asks another entry for it
+(`azurepier.dispatch._transfer`) if the store doesn't send it. It tells the
+others which version it has applied.
 """
 
 import attrs
 
 from azurepier.dispatch import _model
 from azurepier.dispatch import _state
+from azurepier.dispatch import _transfer
 from azurepier.kernel import effects
 from azurepier.kernel import messages
 
 MS_PER_S = 1000
 STORE = 'store'
-# Time after which a version is sent again to an entry that has not reported
-# it; the entry sends heartbeats every 0.5 s. It doubles with each repetition,
-# since a peer may be unable to decode the version (s).
+# Time after which a version is sent again to an entry of an earlier build that
+# has not reported it; the entry sends heartbeats every 0.5 s. It doubles with
+# each repetition, since a peer may be unable to decode the version (s).
 OFFER_TIMEOUT_S = 1.25
 OFFER_TIMEOUT_MAX_S = 20.0
 
@@ -58,6 +60,7 @@
         'bytes': len(routing.body),
     }
     out.append(effects.Log('config_applied', fields))
+    _transfer.update(node, now)
     for peer in node.peers.values():
         out += offer(node, peer, now)
     return out
@@ -76,17 +79,25 @@
     """Note the version of another entry, and offer it a newer one."""
     out = hear(node, version, peer.name, now)
     peer.config_version = max(peer.config_version, version)
+    _transfer.update(node, now)
     return out + offer(node, peer, now)
 
 
 def offer(node, peer, now):
-    """Send the applied configuration to an entry that has an older one.
+    """Tell an entry that has an older configuration of the applied one.
 
-    It is sent again until the entry reports that it has applied it.
+    It asks for the text if it needs it. An entry of an earlier build doesn't;
+    it is sent the text until it reports that it has applied it.
     """
     version = _state.config_version(node)
     if peer.config_version >= version:
         return []
+    if peer.sends_parts:
+        if peer.offered_version >= version:
+            return []
+        peer.offered_version = version
+        msg = messages.Beat(config_version=version, demand=0.0)
+        return [effects.Send(peer.conn, msg)]
     if peer.offered_version < version:
         peer.offered_version, peer.offer_count = version, 0
         peer.offer_timeout_s = OFFER_TIMEOUT_S
@@ -111,7 +122,12 @@
 
 
 def on_update(node, peer, msg, now):
-    """Let the shell decode the configuration of another entry."""
+    """Let the shell decode the configuration of another entry.
+
+    Entries of earlier builds send the whole text.
+    """
+    if msg.offset is not None:
+        return _transfer.on_part(node, peer, msg, now)
     out = hear(node, msg.version, peer.name, now)
     peer.config_version = max(peer.config_version, msg.version)
     if msg.version <= _state.config_version(node):
--- a/azurepier/dispatch/_node.py
+++ b/azurepier/dispatch/_node.py
@@ -13,6 +13,7 @@
 from azurepier.dispatch import _progress
 from azurepier.dispatch import _runs
 from azurepier.dispatch import _state
+from azurepier.dispatch import _transfer
 from azurepier import kernel
 from azurepier.kernel import effects
 from azurepier.kernel import events
@@ -204,11 +205,13 @@
     messages.Beat: _peers.on_heartbeat,
     messages.EntriesKnown: _peers.on_entries_known,
     messages.ConfigUpdate: _config.on_update,
+    messages.ConfigRequest: _transfer.on_request,
 }
 
 _TIMERS = {
     'heartbeat': _links.on_heartbeat_timer,
     'dial': _peers.on_dial_timer,
+    'transfer': _transfer.on_timer,
     'runs_expired': _links.on_runs_expired,
     'pass': _pass.on_pass_timer,
     'recheck': _on_recheck_timer,
--- a/azurepier/dispatch/_peers.py
+++ b/azurepier/dispatch/_peers.py
@@ -10,6 +10,7 @@
 from azurepier.dispatch import _config
 from azurepier.dispatch import _evacuation
 from azurepier.dispatch import _state
+from azurepier.dispatch import _transfer
 from azurepier.kernel import effects
 from azurepier.kernel import messages
 from azurepier import membership
@@ -38,6 +39,7 @@
         conn,
         now,
         dialed=dialed,
+        sends_parts=bool(hello.config_parts),
     )
     node.peers[conn] = peer
     node.roster.learn(peer.address, peer.domain, now)
@@ -61,6 +63,7 @@
 def remove_peer(node, peer, reason):
     """Remove the connection to another entry."""
     del node.peers[peer.conn]
+    _transfer.on_peer_removed(node, peer)
     return [
         effects.Log(
             'entry_disconnected', {'entry': peer.name, 'reason': reason}
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -231,6 +231,8 @@
         Times of the last messages (s).
     sent_roster_version, roster_sent_at : int, float
         Version of the roster that was last sent, and the time (s).
+    sends_parts : bool
+        Whether it asks for configurations, and sends them, in parts.
     config_version : int
         Newest version of the configuration that it reports to have applied.
     offered_version, offer_count : int
@@ -247,6 +249,7 @@
     conn: int
     last_received_at: float
     dialed: bool = False
+    sends_parts: bool = False
     config_version: int = -1
     offered_version: int = -1
     offer_count: int = 0
@@ -334,6 +337,8 @@
     # none, and when (s).
     config_heard: int = -1
     config_heard_at: float = 0.0
+    # Transfer of that version from other entries, None if none is wanted.
+    transfer: object = None
     # Evacuated failure domains, None before the first update of them, and the
     # time of the latest answer of the store (s).
     evacuations: object = None
@@ -392,6 +397,7 @@
             address=self.options.address,
             web_address='',
             config_version=config_version(self),
+            config_parts=True,
         )
 
 
--- a/azurepier/wire/_codec.py
+++ b/azurepier/wire/_codec.py
@@ -65,7 +65,10 @@
         'largest_size',
         'nonce',
         'proof',
+        'config_parts',
     },
+    ttypes.ConfigUpdate: {'offset', 'total', 'checksum'},
+    ttypes.ConfigRequest: {'version', 'offset'},
     ttypes.RunOrder: {'suspicion', 'label', 'pool', 'max_per_worker'},
     ttypes.RunsKnown: {'session'},
     ttypes.Beat: {
--- a/azurepier/wire/gen/messages/ttypes.py
+++ b/azurepier/wire/gen/messages/ttypes.py
@@ -36,6 +36,7 @@
      - largest_size
      - nonce
      - proof
+     - config_parts
 
     """
 
@@ -55,10 +56,11 @@
         'largest_size',
         'nonce',
         'proof',
+        'config_parts',
     )
 
 
-    def __init__(self, protocol=None, role=None, name=None, incarnation=None, session=None, domain=None, address=None, web_address=None, config_version=None, worker=None, slots=None, kinds=None, largest_size=None, nonce=None, proof=None,):
+    def __init__(self, protocol=None, role=None, name=None, incarnation=None, session=None, domain=None, address=None, web_address=None, config_version=None, worker=None, slots=None, kinds=None, largest_size=None, nonce=None, proof=None, config_parts=None,):
         self.protocol = protocol
         self.role = role
         self.name = name
@@ -74,6 +76,7 @@
         self.largest_size = largest_size
         self.nonce = nonce
         self.proof = proof
+        self.config_parts = config_parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -164,6 +167,11 @@
                     self.proof = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.BOOL:
+                    self.config_parts = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -237,6 +245,10 @@
             oprot.writeFieldBegin('proof', TType.STRING, 15)
             oprot.writeBinary(self.proof)
             oprot.writeFieldEnd()
+        if self.config_parts is not None:
+            oprot.writeFieldBegin('config_parts', TType.BOOL, 16)
+            oprot.writeBool(self.config_parts)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -747,12 +759,17 @@
 
 class ConfigUpdate(object):
     """
-    A whole configuration (base == 0) or the difference from `base`.
+    A whole configuration (base == 0) or the difference from `base`. Between
+    entries of pools also part of the text of a configuration, which has all the
+    optional fields.
 
     Attributes:
      - version
      - base
      - body
+     - offset
+     - total
+     - checksum
 
     """
 
@@ -760,13 +777,19 @@
         'version',
         'base',
         'body',
+        'offset',
+        'total',
+        'checksum',
     )
 
 
-    def __init__(self, version=None, base=None, body=None,):
+    def __init__(self, version=None, base=None, body=None, offset=None, total=None, checksum=None,):
         self.version = version
         self.base = base
         self.body = body
+        self.offset = offset
+        self.total = total
+        self.checksum = checksum
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -792,6 +815,21 @@
                     self.body = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.total = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.checksum = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -814,6 +852,18 @@
             oprot.writeFieldBegin('body', TType.STRING, 3)
             oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 4)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        if self.total is not None:
+            oprot.writeFieldBegin('total', TType.I64, 5)
+            oprot.writeI64(self.total)
+            oprot.writeFieldEnd()
+        if self.checksum is not None:
+            oprot.writeFieldBegin('checksum', TType.I64, 6)
+            oprot.writeI64(self.checksum)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -841,18 +891,26 @@
 
 class ConfigRequest(object):
     """
+    With the optional fields, asks for parts of a text from an offset on.
+
     Attributes:
      - have
+     - version
+     - offset
 
     """
 
     __slots__ = (
         'have',
+        'version',
+        'offset',
     )
 
 
-    def __init__(self, have=None,):
+    def __init__(self, have=None, version=None, offset=None,):
         self.have = have
+        self.version = version
+        self.offset = offset
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -868,6 +926,16 @@
                     self.have = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -882,6 +950,14 @@
             oprot.writeFieldBegin('have', TType.I64, 1)
             oprot.writeI64(self.have)
             oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 3)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4333,6 +4409,7 @@
     (13, TType.I32, 'largest_size', None, None, ),  # 13
     (14, TType.STRING, 'nonce', 'BINARY', None, ),  # 14
     (15, TType.STRING, 'proof', 'BINARY', None, ),  # 15
+    (16, TType.BOOL, 'config_parts', None, None, ),  # 16
 )
 all_structs.append(Proof)
 Proof.thrift_spec = (
@@ -4376,11 +4453,16 @@
     (1, TType.I64, 'version', None, None, ),  # 1
     (2, TType.I64, 'base', None, None, ),  # 2
     (3, TType.STRING, 'body', 'BINARY', None, ),  # 3
+    (4, TType.I64, 'offset', None, None, ),  # 4
+    (5, TType.I64, 'total', None, None, ),  # 5
+    (6, TType.I64, 'checksum', None, None, ),  # 6
 )
 all_structs.append(ConfigRequest)
 ConfigRequest.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'have', None, None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.I64, 'offset', None, None, ),  # 3
 )
 all_structs.append(Start)
 Start.thrift_spec = (
--- a/thrift/azurepier.thrift
+++ b/thrift/azurepier.thrift
@@ -21,6 +21,9 @@
   13: i32 largest_size
   14: binary nonce          // for the proof of the shared key
   15: binary proof
+  // Entries of pools only: the sender asks for configurations in parts and
+  // sends them so; earlier versions ignore it.
+  16: bool config_parts
 }
 
 /** Second message when a shared key is set: proves knowledge of the key. */
@@ -56,15 +59,25 @@
   3: string leader          // name of the entry that dispatches new jobs
 }
 
-/** A whole configuration (base == 0) or the difference from `base`. */
+/**
+ * A whole configuration (base == 0) or the difference from `base`. Between
+ * entries of pools also part of the text of a configuration, which has all the
+ * optional fields.
+ */
 struct ConfigUpdate {
   1: i64 version
   2: i64 base
   3: binary body
+  4: i64 offset             // of the part in the text
+  5: i64 total              // bytes of the whole text
+  6: i64 checksum           // CRC-32 of the whole text
 }
 
+/** With the optional fields, asks for parts of a text from an offset on. */
 struct ConfigRequest {
   1: i64 have
+  2: i64 version
+  3: i64 offset
 }
 
 struct Start {
