Wait for an answer of the store as long as it arrives

Callers of an entry on a slow link were served by an old configuration for good (CONFIG): a watch was given up 1 s after its wait, however much of its answer had arrived, and the next one got the same text from its start.

A call is now given up after 1 s without a byte.

test_answer_of_the_store_takes_longer_than_a_watch (500 kB at 2 Mbit/s) failed before, with one entry and with three.

--- a/azurepier/daemon/_http.py
+++ b/azurepier/daemon/_http.py
@@ -99,7 +99,9 @@
     _connecting: set = attrs.field(factory=set)
     _open: set = attrs.field(factory=set)
 
-    async def call(self, method, path, body=b'', headers=None):
+    async def call(
+        self, method, path, body=b'', headers=None, on_progress=None
+    ):
         """Send a request once, without retries, and wait for its response.
 
         Parameters
@@ -110,6 +112,8 @@
         body : bytes, optional
             JSON.
         headers : dict of str to str, optional
+        on_progress : callable, optional
+            Called when a chunk of the response has arrived.
 
         Returns
         -------
@@ -136,6 +140,7 @@
             else:
                 response_future.set_exception(error)
 
+        conn.on_progress = on_progress
         conn.send(request, on_response)
         try:
             response = await response_future
@@ -143,6 +148,8 @@
             self.abandoned_bytes += conn.received_bytes
             conn.abort()
             raise
+        finally:
+            conn.on_progress = None
         self._release(conn)
         return response
 
--- a/azurepier/daemon/_http_connection.py
+++ b/azurepier/daemon/_http_connection.py
@@ -59,6 +59,8 @@
         Identity of the server that has accepted the connection, if known.
     responded_at : float
         Time of the last response (s).
+    on_progress : callable or None
+        Called when a chunk of a response has arrived that isn't its last.
     """
 
     def __init__(self, max_response_bytes, open_conns):
@@ -74,6 +76,7 @@
         self.reusable = False
         self.identity = None
         self.responded_at = 0.0
+        self.on_progress = None
 
     def connection_made(self, transport):
         """Store the transport."""
@@ -104,6 +107,8 @@
             self._fail(
                 ResponseTooLongError(self.status, self.max_response_bytes)
             )
+        elif self.on_response is not None and self.on_progress is not None:
+            self.on_progress()
 
     def on_headers_complete(self):
         """Store the status of the response."""
--- a/tests/adapter/test_config_propagation.py
+++ b/tests/adapter/test_config_propagation.py
@@ -183,6 +183,29 @@
 
         assert not virtual_loop.run(play)
 
+    @pytest.mark.parametrize('entries', [1, 3])
+    def test_answer_of_the_store_takes_longer_than_a_watch(self, entries):
+        """Guards against an answer that is given up while it arrives.
+
+        It would be asked for again from its start, for ever.
+        """
+
+        async def play():
+            async with virtual_fleet.running_fleet(1, entries) as fleet:
+                link = virtual_loop.Link(bytes_per_s=2e6 / 8)
+                slow_down(fleet, fleet.entries, link)
+                fleet.text_bytes = 500_000
+                fleet.change()
+                # The answer has 4/3 of the text and takes 2.7 s.
+                await asyncio.sleep(4.0)
+                return [
+                    entry.name
+                    for entry in fleet.entries.values()
+                    if entry.version < fleet.version
+                ]
+
+        assert virtual_loop.run(play) == []
+
 
 class TestDelayedLinks:
     @pytest.mark.parametrize('delay_s', [0.12, 0.19, 0.24, 0.3])
