Keep attempts to connect open while further ones are made

An entry whose round trips took longer than the limit of an attempt to connect (0.3 s to other entries, 0.4 s to the store) opened no connection again once it had lost them, and its callers were served by an old configuration for as long as the delay lasted: each attempt was abandoned before its answer came, and the next one had the same limit.

Another attempt still starts after 0.3 or 0.4 s, so that a host that has just returned is reached as soon as before; the earlier ones stay open until one succeeds or 1.5 s are over. Connections to the worker on the same machine keep one attempt of 0.4 s.

--- a/azurepier/daemon/_http.py
+++ b/azurepier/daemon/_http.py
@@ -12,6 +12,7 @@
 import attrs
 
 from azurepier.daemon import _http_connection
+from azurepier import wire
 
 NotSentError = _http_connection.NotSentError
 OtherServerError = _http_connection.OtherServerError
@@ -27,9 +28,10 @@
 # shows that its server goes on (s). A server that loses power doesn't close
 # its connections, but takes longer to return.
 IDENTITY_MAX_AGE_S = 0.2
-# TCP retransmits a lost SYN only after one second; a new attempt reaches a
-# server that has just returned sooner.
-CONNECT_TIMEOUT_S = 0.4
+# Time after which another attempt to connect is made (s), and time after which
+# one to a server on the same machine is given up.
+CONNECT_INTERVAL_S = 0.4
+LOCAL_CONNECT_TIMEOUT_S = 0.4
 
 
 @attrs.frozen
@@ -83,6 +85,8 @@
         Longest response that is accepted, including its head.
     idle_timeout_s : float
         Connections that were idle for longer are not reused.
+    connect_timeout_s : float
+        Time after which attempts to connect are given up (s).
 
     Attributes
     ----------
@@ -94,6 +98,7 @@
     port: int
     max_response_bytes: int
     idle_timeout_s: float = IDLE_TIMEOUT_S
+    connect_timeout_s: float = LOCAL_CONNECT_TIMEOUT_S
     abandoned_bytes: int = 0
     _idle: collections.deque = attrs.field(factory=collections.deque)
     _connecting: set = attrs.field(factory=set)
@@ -301,20 +306,19 @@
         return head.encode() + body
 
     async def _connect(self):
-        loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, conn = await loop.create_connection(
-                    lambda: _http_connection.Connection(
-                        self.max_response_bytes, self._open
-                    ),
-                    self.host,
-                    self.port,
-                )
+            return await wire.connect(
+                lambda: _http_connection.Connection(
+                    self.max_response_bytes, self._open
+                ),
+                self.host,
+                self.port,
+                CONNECT_INTERVAL_S,
+                self.connect_timeout_s,
+            )
         except OSError as exc:  # includes TimeoutError
             reason = str(exc) or 'no connection in time'
             raise NotSentError(reason) from exc
-        return conn
 
     def _take_idle_connection(self, identification=None):
         """Return an idle connection, preferably one that is identified."""
--- a/azurepier/wire/__init__.py
+++ b/azurepier/wire/__init__.py
@@ -7,6 +7,7 @@
 _SOURCES = {
     'BACKLOG': 'azurepier.wire._addresses:BACKLOG',
     'CLASS_OF_TYPE': 'azurepier.wire._codec:CLASS_OF_TYPE',
+    'CONNECT_TIMEOUT_S': 'azurepier.wire._attempts:CONNECT_TIMEOUT_S',
     'Connection': 'azurepier.wire._connection:Connection',
     'Hooks': 'azurepier.wire._connection:Hooks',
     'Listener': 'azurepier.wire._sockets:Listener',
@@ -14,6 +15,7 @@
     'Traffic': 'azurepier.wire._connection:Traffic',
     'bind': 'azurepier.wire._addresses:bind',
     'bound_address': 'azurepier.wire._addresses:bound_address',
+    'connect': 'azurepier.wire._attempts:connect',
     'check_accelerated': 'azurepier.wire._codec:check_accelerated',
     'decode': 'azurepier.wire._codec:decode',
     'dial': 'azurepier.wire._sockets:dial',
@@ -27,6 +29,7 @@
 __all__ = [
     'BACKLOG',
     'CLASS_OF_TYPE',
+    'CONNECT_TIMEOUT_S',
     'Connection',
     'Hooks',
     'Listener',
@@ -35,6 +38,7 @@
     'bind',
     'bound_address',
     'check_accelerated',
+    'connect',
     'decode',
     'dial',
     'encode',
--- a/azurepier/wire/_sockets.py
+++ b/azurepier/wire/_sockets.py
@@ -6,6 +6,7 @@
 import attrs
 
 from azurepier.wire import _addresses
+from azurepier.wire import _attempts
 from azurepier.wire import _connection
 from azurepier.wire import _handshake
 
@@ -13,10 +14,8 @@
 # Accepted connections that have not completed the handshake. Limits the
 # resources that peers without a key can use.
 MAX_HANDSHAKES = 512
-# A host that is powered off does not answer the first SYN, and the kernel
-# retransmits it only after 1 s; a new attempt reaches the host sooner once it
-# is back. Network delays between regions are at most 0.1 s.
-DIAL_TIMEOUT_S = 0.3
+# Time after which another attempt to connect is made (s).
+DIAL_INTERVAL_S = 0.3
 
 
 @attrs.define(eq=False)
@@ -118,20 +117,15 @@
         The connection, whose handshake is still in progress. None after a
         failure, which is reported to ``hooks.on_connect_failed``.
     """
-    loop = asyncio.get_running_loop()
     factory = functools.partial(
         _connection.Connection, _handshake.Side.DIALER, hooks
     )
     try:
         host, port = _addresses.split_address(address)
-        async with asyncio.timeout(DIAL_TIMEOUT_S):
-            _, conn = await loop.create_connection(factory, host, port)
+        return await _attempts.connect(factory, host, port, DIAL_INTERVAL_S)
     except TimeoutError:
-        hooks.on_connect_failed(
-            address, f'no connection within {DIAL_TIMEOUT_S} s'
-        )
-        return None
+        reason = f'no connection within {_attempts.CONNECT_TIMEOUT_S} s'
+        hooks.on_connect_failed(address, reason)
     except (OSError, ValueError) as exc:
         hooks.on_connect_failed(address, str(exc))
-        return None
-    return conn
+    return None
