Ask no entry for a text while the store's answer arrives

With a configuration of 1 MiB, the copy that another entry sends shares a link of 9.5 Mbit/s with the answer of the store, so that both take 2 s in place of 1.2 s. After all connections have gone silent, an entry can then be later than its callers are promised: by calculation 4.8 s after the silence (2.9 s until the watch is repeated, 1.8 s for two copies, 0.1 s to decode), where it counts as in touch after 4.0 s.

The chunks of a long answer are now passed to the entry as events; it asks no entry for (more of) the text while they come, and goes on 0.25 s after the last one. A request is for 128 kB in place of 256 kB, since these may still come beside the answer.

test_answer_of_the_store_arrives fails without the check (the whole text was sent).

--- a/azurepier/dispatch/_node.py
+++ b/azurepier/dispatch/_node.py
@@ -191,6 +191,7 @@
     events.MembersSeen: _peers.on_members_seen,
     membership.EvacuationsLoaded: _evacuation.on_evacuations_loaded,
     _config.RoutingLoaded: _config.on_routing_loaded,
+    _transfer.StoreAnswering: _transfer.on_store_answering,
 }
 
 _ENDPOINT_MESSAGES = {
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -1,6 +1,7 @@
 """State of an entry that dispatches to pools of endpoints."""
 
 import collections
+import math
 
 import attrs
 
@@ -343,6 +344,8 @@
     # time of the latest answer of the store (s).
     evacuations: object = None
     store_seen_at: float = 0.0
+    # Time of the latest chunk of a long answer of the store (s).
+    store_answering_at: float = -math.inf
     draining_since: float | None = None
     # The job being processed; it is rejected if the handler raises.
     current_job: object = None
--- a/azurepier/dispatch/_transfer.py
+++ b/azurepier/dispatch/_transfer.py
@@ -3,9 +3,10 @@
 Load pattern: a configuration of up to a megabyte changes, and a link carries a
 megabyte a second or less. If all entries sent what they have, a slow link
 would carry a copy from each of them, beside the one of the store, and none
-would arrive in time. So an entry asks one entry at a time, and only if the
-store doesn't send the version first: at most two copies are under way to it.
-What has arrived is kept when a connection ends and another entry goes on.
+would arrive in time. So an entry asks one entry at a time, and none while the
+store's answer arrives: one copy is under way to it, and `REQUEST_BYTES` of
+another. What has arrived is kept when a connection ends and another entry goes
+on.
 """
 
 import zlib
@@ -19,9 +20,9 @@
 
 # Size of a part. Other messages, such as heartbeats, pass between parts.
 PART_BYTES = 32 * 1024
-# Bytes that are sent on one request: a text of a megabyte takes four round
-# trips.
-REQUEST_BYTES = 256 * 1024
+# Bytes that are sent on one request, and that may still arrive when the store
+# begins to answer: a text of a megabyte takes eight round trips.
+REQUEST_BYTES = 128 * 1024
 # Longest text that is accepted; the store has values of 1 MiB at most.
 MAX_TEXT_BYTES = 4 * 1024 * 1024
 # Time that a store which answers has to send a version before another entry is
@@ -34,6 +35,13 @@
 # Pause after a text that could not be applied; it doubles each time (s).
 RETRY_MIN_S = 1.25
 RETRY_MAX_S = 20.0
+# Longest time between two chunks of an answer that arrives (s).
+CHUNK_INTERVAL_S = 0.25
+
+
+@attrs.frozen
+class StoreAnswering:
+    """A chunk of a long answer of the store has arrived."""
 
 
 @attrs.define
@@ -90,6 +98,16 @@
     node.timers.set('transfer', due_at)
 
 
+def on_store_answering(node, _, now):
+    """Note that the store's answer arrives."""
+    node.store_answering_at = now
+    return []
+
+
+def _is_store_answering(node, now):
+    return now - node.store_answering_at < CHUNK_INTERVAL_S
+
+
 def on_timer(node, _, now):
     """Ask an entry for the text, or for the rest of it."""
     transfer = node.transfer
@@ -99,7 +117,7 @@
         node.timers.set('transfer', transfer.due_at)
         return []
     peer = _choose(node, transfer)
-    if peer is None:
+    if peer is None or _is_store_answering(node, now):
         _wait(node, now + RECHECK_S)
         return []
     return _ask(node, peer, now)
@@ -224,7 +242,10 @@
     if len(transfer.data) == transfer.total:
         return _complete(node, peer, now)
     if len(transfer.data) >= transfer.requested_bytes:
-        return _ask(node, peer, now)
+        if not _is_store_answering(node, now):
+            return _ask(node, peer, now)
+        _wait(node, now + RECHECK_S)
+        return []
     _wait(node, now + PART_TIMEOUT_S)
     return []
 
--- a/azurepier/dispatch/tests/test_transfer.py
+++ b/azurepier/dispatch/tests/test_transfer.py
@@ -91,6 +91,19 @@
         fleet.run_for(2.0)
         assert not parts
 
+    def test_answer_of_the_store_arrives(self):
+        """Guards against a second copy that delays the one of the store."""
+        fleet, parts = make_fleet(2)
+        receiver = fleet.entries['e1']
+        for _ in range(20):
+            fleet.driver.feed(receiver, dispatch.StoreAnswering())
+            fleet.run_for(0.1)
+        sent = sum(len(part.body) for *_, part in parts)
+        assert sent <= _transfer.REQUEST_BYTES
+        # The answer goes silent.
+        fleet.run_for(1.0)
+        assert version_of(fleet, 'e1') == VERSION
+
     def test_entry_of_an_earlier_build(self):
         """Guards against an entry that is never sent the text.
 
