--- a/azurepier/dispatch/_peers.py
+++ b/azurepier/dispatch/_peers.py
@@ -5,6 +5,8 @@
 demand for an endpoint to that endpoint and not to the other entries.
 """
 
+import attrs
+
 from azurepier.dispatch import _bounds
 from azurepier.dispatch import _cancel
 from azurepier.dispatch import _config
@@ -18,6 +20,47 @@
 MS_PER_S = 1000
 
 
+@attrs.define(eq=False)
+class Peer:
+    """Another entry.
+
+    Attributes
+    ----------
+    dialed : bool
+        Whether this entry opened the connection.
+    last_received_at, last_sent_at : float
+        Times of the last messages (s).
+    sent_roster_version, roster_sent_at : int, float
+        Version of the roster that was last sent, and the time (s).
+    sends_parts : bool
+        Whether it asks for configurations, and sends them, in parts.
+    config_version : int
+        Newest version of the configuration that it reports to have applied.
+    offered_version, offer_count : int
+        Newest version that was sent to it, and how often.
+    next_offer_at, offer_timeout_s : float
+        Time from which that version is sent again, and the pause after that
+        (s).
+    """
+
+    name: str
+    incarnation: str
+    address: str
+    domain: str
+    conn: int
+    last_received_at: float
+    dialed: bool = False
+    sends_parts: bool = False
+    config_version: int = -1
+    offered_version: int = -1
+    offer_count: int = 0
+    next_offer_at: float = 0.0
+    offer_timeout_s: float = 0.0
+    last_sent_at: float = 0.0
+    sent_roster_version: int = -1
+    roster_sent_at: float = 0.0
+
+
 def add_peer(node, conn, hello, now):
     """Register a new connection to another entry."""
     dialed = hello.address in node.dialing
@@ -31,7 +74,7 @@
             # lower address closes the older connection.
             out.append(effects.Close(other.conn))
             out += remove_peer(node, other, 'replaced')
-    peer = _state.Peer(
+    peer = Peer(
         hello.name,
         hello.incarnation,
         hello.address,
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -220,47 +220,6 @@
     )
 
 
-@attrs.define(eq=False)
-class Peer:
-    """Another entry.
-
-    Attributes
-    ----------
-    dialed : bool
-        Whether this entry opened the connection.
-    last_received_at, last_sent_at : float
-        Times of the last messages (s).
-    sent_roster_version, roster_sent_at : int, float
-        Version of the roster that was last sent, and the time (s).
-    sends_parts : bool
-        Whether it asks for configurations, and sends them, in parts.
-    config_version : int
-        Newest version of the configuration that it reports to have applied.
-    offered_version, offer_count : int
-        Newest version that was sent to it, and how often.
-    next_offer_at, offer_timeout_s : float
-        Time from which that version is sent again, and the pause after that
-        (s).
-    """
-
-    name: str
-    incarnation: str
-    address: str
-    domain: str
-    conn: int
-    last_received_at: float
-    dialed: bool = False
-    sends_parts: bool = False
-    config_version: int = -1
-    offered_version: int = -1
-    offer_count: int = 0
-    next_offer_at: float = 0.0
-    offer_timeout_s: float = 0.0
-    last_sent_at: float = 0.0
-    sent_roster_version: int = -1
-    roster_sent_at: float = 0.0
-
-
 @attrs.define(eq=False, repr=False)
 class Entry:
     """State of an entry.
--- a/azurepier/dispatch/tests/test_mechanisms.py
+++ b/azurepier/dispatch/tests/test_mechanisms.py
@@ -15,6 +15,7 @@
 from azurepier.dispatch import _pass
 from azurepier.dispatch import _placement
 from azurepier.dispatch import _progress
+from azurepier.dispatch import _transfer
 from azurepier.dispatch.tests import test_cancel as cancels
 from azurepier.dispatch.tests import test_crashes as crashes
 from azurepier.dispatch.tests import test_evacuation as evacuation
@@ -22,6 +23,7 @@
 from azurepier.dispatch.tests import test_former_runs as former_runs
 from azurepier.dispatch.tests import test_returned_worker as returned
 from azurepier.dispatch.tests import test_start_under_way as under_way
+from azurepier.dispatch.tests import test_transfer as transfer
 from azurepier.dispatch.tests import test_unconfirmed_stops as stops
 from azurepier.dispatch.tests import test_unsuitable_workers as unsuitable
 from azurepier.kernel import messages
@@ -59,6 +61,31 @@
     return []
 
 
+def _ask_at_once(monkeypatch):
+    monkeypatch.setattr(_transfer, 'ASK_DELAY_S', 0.0)
+
+
+def _ignore_answers_of_the_store(monkeypatch):
+    monkeypatch.setattr(
+        _transfer, '_is_store_answering', lambda node, now: False
+    )
+
+
+def _start_transfers_again(monkeypatch):
+    on_peer_removed = _transfer.on_peer_removed
+
+    def restart(node, peer):
+        on_peer_removed(node, peer)
+        if node.transfer is not None:
+            node.transfer.restart()
+
+    monkeypatch.setattr(_transfer, 'on_peer_removed', restart)
+
+
+def _wait_for_lost_parts(monkeypatch):
+    monkeypatch.setattr(_transfer, 'PART_TIMEOUT_S', 1000.0)
+
+
 def _disable_reconnect_timeout(patch):
     patch.setitem(runner_node._TIMERS, 'reconnect_timeout', _no_effects)
 
@@ -461,6 +488,22 @@
         _forget_silent_tasks,
         crashes.TestBound().test_crashed_worker_is_silent,
     ),
+    'the store has time to send a version': (
+        _ask_at_once,
+        transfer.TestCopies().test_store_sends_it,
+    ),
+    'no entry is asked while the store answers': (
+        _ignore_answers_of_the_store,
+        transfer.TestCopies().test_answer_of_the_store_arrives,
+    ),
+    'parts that have arrived are kept': (
+        _start_transfers_again,
+        transfer.TestLostParts().test_entry_that_was_asked_is_killed,
+    ),
+    'lost parts are asked for again': (
+        _wait_for_lost_parts,
+        transfer.TestLostParts().test_part_is_lost,
+    ),
     'jobs that wait for an evacuated pool are rejected': (
         _wait_for_evacuated_pool,
         evacuation.TestAllDomains().test_waiting_jobs_are_rejected_at_once,
--- a/azurepier/dispatch/tests/test_transfer.py
+++ b/azurepier/dispatch/tests/test_transfer.py
@@ -87,7 +87,12 @@
 
     def test_store_sends_it(self):
         """Guards against a second copy beside that of the store."""
-        fleet, parts = make_fleet(3, ('e0', 'e1', 'e2'))
+        fleet, parts = make_fleet(3, ('e0',))
+        fleet.store_cut.clear()
+        fleet.watch_store()
+        fleet.run_for(0.2)
+        for name in ('e1', 'e2'):
+            load(fleet, name)
         fleet.run_for(2.0)
         assert not parts
 
--- a/azurepier/testing/_virtual_loop.py
+++ b/azurepier/testing/_virtual_loop.py
@@ -144,12 +144,14 @@
         if self.silent or self.loop.is_cut(self.host, self.other.host):
             self.silent = True
             return
-        arrives_at = max(
+        # The event loop doesn't keep the order of timers of the same time.
+        self._arrives_at = max(
             self.loop.arrival(self.host, self.other.host, nbytes),
-            self._arrives_at,
+            math.nextafter(self._arrives_at, math.inf),
+        )
+        self.loop.call_at(
+            self._arrives_at, function, *args, context=self.other.context
         )
-        self._arrives_at = arrives_at
-        self.other._call(arrives_at - self.loop.time(), function, *args)
 
     def write(self, data):
         """Send data to the other end."""
--- a/tests/adapter/config_soak.py
+++ b/tests/adapter/config_soak.py
@@ -1,12 +1,15 @@
 """Random faults of entries, of their connections and of the store.
 
 Run by hand with a first and a last seed:
-``python tests/adapter/config_soak.py 1 200``.
+``python tests/adapter/config_soak.py 1 200``. With ``links`` as a third
+argument, some entries have slow or delayed links and the texts are large.
 """
 
 import asyncio
 import logging
+import math
 import pathlib
+import random
 import sys
 
 _HERE = pathlib.Path(__file__).parent
@@ -102,6 +105,14 @@
         fleet.loop.create_task(restart(fleet, each, duration_s))
 
 
+# Days with slow links are those of deployments with these links (bytes/s),
+# delays (s) and bounds (s), and with texts of these sizes (bytes).
+LINKS = (9.5e6 / 8, 12.5e6 / 8, 31e6 / 8, math.inf)
+DELAYS_S = (0.0, 0.0, 0.005, 0.02)
+CONTACT_S = 4.0
+APPLY_S = 3.0
+TEXTS_BYTES = (10_000, 285_000, 561_000, 837_000)
+
 FAULTS = (
     silence,
     silence_all,
@@ -115,18 +126,44 @@
 )
 
 
+def vary_links(fleet, seed):
+    """Give each entry a link of its own."""
+    # A generator of its own, so that the faults are those of the seed.
+    rng = random.Random(f'links-{seed}')
+    fleet.contact_s, fleet.apply_s = CONTACT_S, APPLY_S
+    fleet.text_sizes = TEXTS_BYTES
+    for entry in fleet.entries.values():
+        link = virtual_loop.Link(rng.choice(LINKS), rng.choice(DELAYS_S))
+        fleet.loop.links[entry.host] = link
+
+
 async def _make_changes(fleet):
+    # Changes in quick succession would need more than a slow link carries.
+    shortest_s, lengths_s = 0.1, (0.6, 5.0, 9.0)
+    if fleet.text_sizes:
+        shortest_s, lengths_s = 2.0, (3.0, 5.0, 9.0)
     while True:
-        longest_s = fleet.rng.choice((0.6, 5.0, 9.0))
-        await asyncio.sleep(fleet.rng.uniform(0.1, longest_s))
+        longest_s = fleet.rng.choice(lengths_s)
+        await asyncio.sleep(fleet.rng.uniform(shortest_s, longest_s))
+        if fleet.text_sizes:
+            fleet.text_bytes = fleet.rng.choice(fleet.text_sizes)
         fleet.change()
 
 
-async def play_day(seed):
-    """Play a day; return the fleet."""
+async def play_day(seed, links=False):
+    """Play a day; return the fleet.
+
+    Parameters
+    ----------
+    seed : int
+    links : bool, optional
+        Whether entries have slow and delayed links, and texts are large.
+    """
     size = SIZES[seed % len(SIZES)]
     async with virtual_fleet.running_fleet(seed, size) as fleet:
         rng, loop = fleet.rng, fleet.loop
+        if links:
+            vary_links(fleet, seed)
         changes = loop.create_task(_make_changes(fleet))
         end_at = loop.time() + DAY_S
         while loop.time() < end_at:
@@ -142,12 +179,12 @@
         return fleet
 
 
-def main(first, last):
+def main(first, last, links=False):
     """Play the days of some seeds and print what is wrong."""
     logging.disable(logging.CRITICAL)
     broken, worst_s = 0, 0.0
     for seed in range(first, last + 1):
-        fleet = virtual_loop.run(lambda seed=seed: play_day(seed))
+        fleet = virtual_loop.run(lambda seed=seed: play_day(seed, links))
         worst_s = max(worst_s, fleet.worst_recovery_s)
         if fleet.violations:
             broken += 1
@@ -159,4 +196,4 @@
 
 
 if __name__ == '__main__':
-    main(*map(int, sys.argv[1:3]))
+    main(*map(int, sys.argv[1:3]), sys.argv[3:] == ['links'])
--- a/tests/adapter/test_config_soak.py
+++ b/tests/adapter/test_config_soak.py
@@ -24,3 +24,9 @@
         """Guards against a version that is late, lost or comes back."""
         fleet = virtual_loop.run(lambda: config_soak.play_day(seed))
         assert not fleet.violations
+
+    @pytest.mark.parametrize('seed', range(1, 7))
+    def test_slow_links(self, seed):
+        """Guards against copies of large texts that fill a slow link."""
+        fleet = virtual_loop.run(lambda: config_soak.play_day(seed, True))
+        assert not fleet.violations
--- a/tests/adapter/virtual_fleet.py
+++ b/tests/adapter/virtual_fleet.py
@@ -85,7 +85,9 @@
         Longest time until a change was in force at an entry that ran, counted
         from the change or the end of the latest disturbance (s).
     text_bytes : int
-        Minimum size of the configurations.
+        Minimum size of the next configurations.
+    text_sizes : tuple of int
+        Sizes of which days of random faults choose, empty for small ones.
     contact_s, apply_s : float
         Time without a disturbance after which an entry has to follow changes,
         and time in which it has to (s).
@@ -105,6 +107,7 @@
     held_watches: asyncio.Event | None = None
     version: int = 0
     text_bytes: int = 0
+    text_sizes: tuple = ()
     contact_s: float = CONTACT_S
     apply_s: float = APPLY_S
 
