Limit how long an arriving answer keeps an entry from asking others

After 6 s other entries are asked all the same; a text of 1 MiB takes 5.6 s at 2 Mbit/s.

test_answer_of_the_store_never_ends fails without the limit (mutation table).

--- a/azurepier/dispatch/_transfer.py
+++ b/azurepier/dispatch/_transfer.py
@@ -37,6 +37,9 @@
 RETRY_MAX_S = 20.0
 # Longest time between two chunks of an answer that arrives (s).
 CHUNK_INTERVAL_S = 0.25
+# Time after which an answer that still arrives no longer keeps an entry from
+# asking others (s): 1 MiB takes 5.6 s on a link of 2 Mbit/s.
+ANSWER_MAX_S = 6.0
 
 
 @attrs.frozen
@@ -56,7 +59,7 @@
     conn : int or None
         Connection of the entry that was asked, None before and after.
     asked : set of int
-        Connections of the entries that were asked since each was.
+        Connections of the entries that were asked, emptied once all were.
     total, checksum : int or None
         Length (bytes) and CRC-32 of the text, None before the first part.
     data : bytearray
@@ -105,7 +108,11 @@
 
 
 def _is_store_answering(node, now):
-    return now - node.store_answering_at < CHUNK_INTERVAL_S
+    """Tell whether the store is about to send the version."""
+    return (
+        now - node.store_answering_at < CHUNK_INTERVAL_S
+        and now - node.config_heard_at < ANSWER_MAX_S
+    )
 
 
 def on_timer(node, _, now):
--- a/azurepier/dispatch/tests/test_mechanisms.py
+++ b/azurepier/dispatch/tests/test_mechanisms.py
@@ -71,6 +71,10 @@
     )
 
 
+def _wait_for_any_answer(monkeypatch):
+    monkeypatch.setattr(_transfer, 'ANSWER_MAX_S', 1000.0)
+
+
 def _start_transfers_again(monkeypatch):
     on_peer_removed = _transfer.on_peer_removed
 
@@ -496,6 +500,10 @@
         _ignore_answers_of_the_store,
         transfer.TestCopies().test_answer_of_the_store_arrives,
     ),
+    'an endless answer does not keep from asking': (
+        _wait_for_any_answer,
+        transfer.TestCopies().test_answer_of_the_store_never_ends,
+    ),
     'parts that have arrived are kept': (
         _start_transfers_again,
         transfer.TestLostParts().test_entry_that_was_asked_is_killed,
--- a/azurepier/dispatch/tests/test_transfer.py
+++ b/azurepier/dispatch/tests/test_transfer.py
@@ -109,6 +109,15 @@
         fleet.run_for(1.0)
         assert version_of(fleet, 'e1') == VERSION
 
+    def test_answer_of_the_store_never_ends(self):
+        """Guards against an entry that waits for a few bytes at a time."""
+        fleet, _ = make_fleet(2)
+        receiver = fleet.entries['e1']
+        for _ in range(80):
+            fleet.driver.feed(receiver, dispatch.StoreAnswering())
+            fleet.run_for(0.1)
+        assert version_of(fleet, 'e1') == VERSION
+
     def test_entry_of_an_earlier_build(self):
         """Guards against an entry that is never sent the text.
 
--- a/azurepier/wire/_attempts.py
+++ b/azurepier/wire/_attempts.py
@@ -44,9 +44,10 @@
     attempt = functools.partial(_attempt, factory, host, port)
     count = max(round(timeout_s / interval_s), 1)
     async with asyncio.timeout(timeout_s):
-        (conn, exc), *_ = await staggered.staggered_race(
+        result, _, excs = await staggered.staggered_race(
             [attempt] * count, interval_s
         )
+    conn, exc = result or (None, excs[0])
     if exc is not None:
         raise exc
     return conn
--- a/azurepier/wire/tests/test_attempts.py
+++ b/azurepier/wire/tests/test_attempts.py
@@ -76,6 +76,19 @@
 
         virtual_loop.run(play)
 
+    def test_protocol_fails(self):
+        """Guards against an error that hides the cause."""
+
+        def fail():
+            raise ValueError('no protocol')
+
+        async def play():
+            await start_server([])
+            with pytest.raises(ValueError, match='no protocol'):
+                await wire.connect(fail, *SERVER, INTERVAL_S)
+
+        virtual_loop.run(play)
+
     def test_no_answer(self):
         """Guards against an attempt without an end."""
 
