--- a/azurepier/dispatch/tests/test_transfer.py
+++ b/azurepier/dispatch/tests/test_transfer.py
@@ -76,6 +76,13 @@
     ]
 
 
+def receive_chunks(fleet, name, count):
+    """Let chunks of an answer of the store arrive, one every 0.1 s."""
+    for _ in range(count):
+        fleet.driver.feed(fleet.entries[name], dispatch.StoreAnswering())
+        fleet.run_for(0.1)
+
+
 class TestCopies:
     def test_several_entries_have_the_version(self):
         """Guards against a copy of the text from each other entry."""
@@ -99,10 +106,7 @@
     def test_answer_of_the_store_arrives(self):
         """Guards against a second copy that delays the one of the store."""
         fleet, parts = make_fleet(2)
-        receiver = fleet.entries['e1']
-        for _ in range(20):
-            fleet.driver.feed(receiver, dispatch.StoreAnswering())
-            fleet.run_for(0.1)
+        receive_chunks(fleet, 'e1', 20)
         sent = sum(len(part.body) for *_, part in parts)
         assert sent <= _transfer.REQUEST_BYTES
         # The answer goes silent.
@@ -112,10 +116,7 @@
     def test_answer_of_the_store_never_ends(self):
         """Guards against an entry that waits for a few bytes at a time."""
         fleet, _ = make_fleet(2)
-        receiver = fleet.entries['e1']
-        for _ in range(80):
-            fleet.driver.feed(receiver, dispatch.StoreAnswering())
-            fleet.run_for(0.1)
+        receive_chunks(fleet, 'e1', 80)
         assert version_of(fleet, 'e1') == VERSION
 
     def test_entry_of_an_earlier_build(self):
