--- a/tests/adapter/propagation.py
+++ b/tests/adapter/propagation.py
@@ -114,6 +114,11 @@
     return gap_s + _read(network)
 
 
+def _entry_starts(network):
+    """The first read comes after the process has started."""
+    return _read(network)
+
+
 def _handler_fails_once(network):
     return _watch_is_answered(network) + store.RETRY_MIN_S + _read(network)
 
@@ -149,6 +154,7 @@
     'the store refuses': _store_refuses,
     'the history is lost': _history_is_lost,
     'the store is unreachable': _store_is_unreachable,
+    'the entry starts': _entry_starts,
     'the handler fails once': _handler_fails_once,
     'the asked entry is silent': _asked_entry_is_silent,
     'the entries are silent': _entries_are_silent,
--- a/tests/adapter/test_config_propagation.py
+++ b/tests/adapter/test_config_propagation.py
@@ -238,6 +238,7 @@
     '': ['the watch is answered'],
     'silence_all': ['the watch is silent', 'the entries are silent'],
     'cut_from_store': ['the watch is silent', 'the store is unreachable'],
+    'restart': ['the entry starts'],
     'refuse': ['the watch is silent', 'the store refuses'],
     'lose_history': [
         'the history is lost',
