Add a failing test of the first read over a delayed link

Found in the read-through: calls to the store that don't wait for a change have 1 s for connecting and answering together. On a link that delays packets by 0.3 s each way, an entry that starts never reads its first configuration.

--- a/tests/adapter/test_config_propagation.py
+++ b/tests/adapter/test_config_propagation.py
@@ -232,6 +232,25 @@
 
         assert not virtual_loop.run(play)
 
+    @pytest.mark.parametrize('delay_s', [0.12, 0.3])
+    def test_first_read_on_a_new_connection(self, delay_s):
+        """Guards against a read whose limit counts the time to connect.
+
+        A call that doesn't wait for a change has 1 s in all, and a new
+        connection takes one round trip of it.
+        """
+
+        async def play():
+            async with virtual_fleet.running_fleet(seed=1, size=1) as fleet:
+                link = virtual_loop.Link(delay_s=delay_s)
+                slow_down(fleet, ['e0'], link)
+                fleet.kill('e0')
+                await fleet.start_entry('e0')
+                await asyncio.sleep(8.0)
+                return fleet.entries['e0'].version == fleet.version
+
+        assert virtual_loop.run(play)
+
 
 # Paths on which a version may come after each fault of the soak.
 FAULTS = {
