--- a/review/fleet.py
+++ b/review/fleet.py
@@ -149,6 +149,7 @@
     mem_mb: int = 262144
     born: int = attrs.field(factory=lambda: int(time.time() * 1000))
     state: str = 'ready'
+    remaining_ms: int = 0
     slowdown: float = 1.0
     sequence: int = 0
     fence: int = 0
@@ -168,7 +169,11 @@
     def report(self):
         """Return the body of the next heartbeat."""
         self.sequence += 1
+        remaining = {}
+        if self.state == 'draining':
+            remaining['remaining_ms'] = self.remaining_ms
         return {
+            **remaining,
             'service': POOL,
             'address': '127.0.0.1:1',
             'zone': self.domain,
@@ -564,8 +569,27 @@
         'stretch': 1.6,
         **fields,
     }
-    service = {'name': POOL, 'rejects_overload': True, 'standby': False}
-    return {'version': version, 'routes': [route], 'services': [service]}
+    service = {
+        'name': POOL,
+        'health_path': '/health',
+        'max_conns': 64,
+        'protocol': 'h1',
+        'tls': False,
+        'rejects_overload': True,
+        'standby': False,
+    }
+    limits = {
+        'max_header_bytes': 16384,
+        'max_body_bytes': 262144,
+        'header_timeout_ms': 3000,
+        'idle_timeout_ms': 15000,
+    }
+    return {
+        'version': version,
+        'routes': [route],
+        'services': [service],
+        'limits': limits,
+    }
 
 
 async def start(fleet):
@@ -799,6 +823,10 @@
 
     async def main():
         fleet = make_fleet(folder, **options)
+        # The processes are ended, too, if the script itself is.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel
+        )
         try:
             async with asyncio.timeout(115):
                 await start(fleet)
@@ -811,7 +839,11 @@
             # Only a broken rule may end with 1.
             fleet.record.add('could not run:', repr(exc))
             return 2
+        except asyncio.CancelledError:
+            fleet.record.add('could not run: stopped')
+            return 2
         finally:
+            fleet.record.write()
             await close(fleet)
             fleet.record.write()
             print('\n'.join(fleet.record.lines[-6:]))
@@ -820,4 +852,9 @@
                 shutil.copytree(fleet.folder, keep, dirs_exist_ok=True)
             shutil.rmtree(fleet.folder, ignore_errors=True)
 
-    sys.exit(asyncio.run(main()))
+    try:
+        code = asyncio.run(main())
+    except Exception as exc:
+        print('could not run:', repr(exc))
+        code = 2
+    sys.exit(code)
