Let a deployment's file switch optional parts of the dispatch on

Two deployments with more contention need decisions that the earlier ones must not get by accident, and no file said which parts a deployment uses.

`RunOrder.wait_ms`, `PoolState.forecast_cpu` and `waiting_orders` are optional fields for orders that wait at an endpoint process; nothing sends them yet.

--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from azurepier.dispatch import _policy
 from azurepier.kernel import Histogram
 from azurepier.kernel import messages
 from azurepier.kernel import Timers
@@ -23,6 +24,8 @@
         Addresses of entries to dial while no other is known.
     bounds : Bounds
         Times of the deployment; its `grace_s` is used.
+    policy : Policy
+        Optional parts in use.
     """
 
     name: str
@@ -30,6 +33,7 @@
     address: str
     seeds: tuple
     bounds: object
+    policy: object = _policy.Policy()
 
 
 @attrs.define(eq=False, repr=False)
--- a/azurepier/runner/_state.py
+++ b/azurepier/runner/_state.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from azurepier.dispatch import bounds
+from azurepier import dispatch
 from azurepier.kernel import Histogram
 from azurepier.kernel import Timers
 
@@ -25,6 +25,8 @@
         Has to exceed that of all earlier runs of the process.
     grace_s : float
         Time between the request to stop and the kill (s).
+    policy : azurepier.dispatch.Policy
+        Optional parts in use.
     """
 
     name: str
@@ -33,6 +35,7 @@
     seeds: tuple
     generation: int
     grace_s: float
+    policy: object = dispatch.Policy()
 
 
 @attrs.define(eq=False)
@@ -225,7 +228,8 @@
     clock_offset_ms: float | None = None
     lease_end_at: float = attrs.field(
         default=attrs.Factory(
-            lambda node: node.last_event_at + bounds.LEASE_S, takes_self=True
+            lambda node: node.last_event_at + dispatch.bounds.LEASE_S,
+            takes_self=True,
         )
     )
     own_lease_end_at: float = 0.0
--- a/azurepier/wire/_codec.py
+++ b/azurepier/wire/_codec.py
@@ -69,7 +69,14 @@
     },
     ttypes.ConfigUpdate: {'offset', 'total', 'checksum'},
     ttypes.ConfigRequest: {'version', 'offset'},
-    ttypes.RunOrder: {'suspicion', 'label', 'pool', 'max_per_worker'},
+    ttypes.PoolState: {'forecast_cpu', 'waiting_orders'},
+    ttypes.RunOrder: {
+        'suspicion',
+        'label',
+        'pool',
+        'max_per_worker',
+        'wait_ms',
+    },
     ttypes.RunsKnown: {'session'},
     ttypes.Beat: {
         'evacuations_revision',
--- a/azurepier/wire/gen/messages/ttypes.py
+++ b/azurepier/wire/gen/messages/ttypes.py
@@ -2881,6 +2881,8 @@
      - failures
      - wanted
      - entries
+     - forecast_cpu
+     - waiting_orders
 
     """
 
@@ -2899,10 +2901,12 @@
         'failures',
         'wanted',
         'entries',
+        'forecast_cpu',
+        'waiting_orders',
     )
 
 
-    def __init__(self, pool=None, labels=None, cpu=None, mem_mb=None, gpu=None, free_cpu=None, free_mem_mb=None, free_gpu=None, accepting=None, seen=None, speed=None, failures=None, wanted=None, entries=None,):
+    def __init__(self, pool=None, labels=None, cpu=None, mem_mb=None, gpu=None, free_cpu=None, free_mem_mb=None, free_gpu=None, accepting=None, seen=None, speed=None, failures=None, wanted=None, entries=None, forecast_cpu=None, waiting_orders=None,):
         self.pool = pool
         self.labels = labels
         self.cpu = cpu
@@ -2917,6 +2921,8 @@
         self.failures = failures
         self.wanted = wanted
         self.entries = entries
+        self.forecast_cpu = forecast_cpu
+        self.waiting_orders = waiting_orders
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3002,6 +3008,21 @@
                     self.entries = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.LIST:
+                    self.forecast_cpu = []
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = iprot.readI32()
+                        self.forecast_cpu.append(_elem74)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.I32:
+                    self.waiting_orders = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3019,8 +3040,8 @@
         if self.labels is not None:
             oprot.writeFieldBegin('labels', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.labels))
-            for iter69 in self.labels:
-                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
+            for iter75 in self.labels:
+                oprot.writeString(iter75.encode('utf-8') if sys.version_info[0] == 2 else iter75)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cpu is not None:
@@ -3071,6 +3092,17 @@
             oprot.writeFieldBegin('entries', TType.I32, 14)
             oprot.writeI32(self.entries)
             oprot.writeFieldEnd()
+        if self.forecast_cpu is not None:
+            oprot.writeFieldBegin('forecast_cpu', TType.LIST, 15)
+            oprot.writeListBegin(TType.I32, len(self.forecast_cpu))
+            for iter76 in self.forecast_cpu:
+                oprot.writeI32(iter76)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.waiting_orders is not None:
+            oprot.writeFieldBegin('waiting_orders', TType.I32, 16)
+            oprot.writeI32(self.waiting_orders)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3111,6 +3143,7 @@
      - label
      - pool
      - max_per_worker
+     - wait_ms
 
     """
 
@@ -3127,10 +3160,11 @@
         'label',
         'pool',
         'max_per_worker',
+        'wait_ms',
     )
 
 
-    def __init__(self, seq=None, task=None, attempt=None, spec=None, cpu=None, mem_mb=None, gpu=None, expected_ms=None, suspicion=None, label=None, pool=None, max_per_worker=None,):
+    def __init__(self, seq=None, task=None, attempt=None, spec=None, cpu=None, mem_mb=None, gpu=None, expected_ms=None, suspicion=None, label=None, pool=None, max_per_worker=None, wait_ms=None,):
         self.seq = seq
         self.task = task
         self.attempt = attempt
@@ -3143,6 +3177,7 @@
         self.label = label
         self.pool = pool
         self.max_per_worker = max_per_worker
+        self.wait_ms = wait_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3213,6 +3248,11 @@
                     self.max_per_worker = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3271,6 +3311,10 @@
             oprot.writeFieldBegin('max_per_worker', TType.I32, 12)
             oprot.writeI32(self.max_per_worker)
             oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 13)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3326,21 +3370,21 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.orders = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = RunOrder()
-                        _elem75.read(iprot)
-                        self.orders.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = RunOrder()
+                        _elem82.read(iprot)
+                        self.orders.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.specs = []
-                    (_etype79, _size76) = iprot.readListBegin()
-                    for _i80 in range(_size76):
-                        _elem81 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.specs.append(_elem81)
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.specs.append(_elem88)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3357,15 +3401,15 @@
         if self.orders is not None:
             oprot.writeFieldBegin('orders', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.orders))
-            for iter82 in self.orders:
-                iter82.write(oprot)
+            for iter89 in self.orders:
+                iter89.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.specs is not None:
             oprot.writeFieldBegin('specs', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.specs))
-            for iter83 in self.specs:
-                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
+            for iter90 in self.specs:
+                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3420,10 +3464,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.seqs = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = iprot.readI64()
-                        self.seqs.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = iprot.readI64()
+                        self.seqs.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3440,8 +3484,8 @@
         if self.seqs is not None:
             oprot.writeFieldBegin('seqs', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.seqs))
-            for iter90 in self.seqs:
-                oprot.writeI64(iter90)
+            for iter97 in self.seqs:
+                oprot.writeI64(iter97)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3603,11 +3647,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = RunEnd()
-                        _elem96.read(iprot)
-                        self.ends.append(_elem96)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = RunEnd()
+                        _elem103.read(iprot)
+                        self.ends.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3630,8 +3674,8 @@
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter97 in self.ends:
-                iter97.write(oprot)
+            for iter104 in self.ends:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.state is not None:
@@ -3701,21 +3745,21 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.running = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = iprot.readI64()
-                        self.running.append(_elem103)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = iprot.readI64()
+                        self.running.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype107, _size104) = iprot.readListBegin()
-                    for _i108 in range(_size104):
-                        _elem109 = RunEnd()
-                        _elem109.read(iprot)
-                        self.ends.append(_elem109)
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = RunEnd()
+                        _elem116.read(iprot)
+                        self.ends.append(_elem116)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3743,15 +3787,15 @@
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.running))
-            for iter110 in self.running:
-                oprot.writeI64(iter110)
+            for iter117 in self.running:
+                oprot.writeI64(iter117)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter111 in self.ends:
-                iter111.write(oprot)
+            for iter118 in self.ends:
+                iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.state is not None:
@@ -3929,10 +3973,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.evacuated = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.evacuated.append(_elem117)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.evacuated.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3949,11 +3993,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.canceled = []
-                    (_etype121, _size118) = iprot.readListBegin()
-                    for _i122 in range(_size118):
-                        _elem123 = CanceledJob()
-                        _elem123.read(iprot)
-                        self.canceled.append(_elem123)
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = CanceledJob()
+                        _elem130.read(iprot)
+                        self.canceled.append(_elem130)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3982,8 +4026,8 @@
         if self.evacuated is not None:
             oprot.writeFieldBegin('evacuated', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.evacuated))
-            for iter124 in self.evacuated:
-                oprot.writeString(iter124.encode('utf-8') if sys.version_info[0] == 2 else iter124)
+            for iter131 in self.evacuated:
+                oprot.writeString(iter131.encode('utf-8') if sys.version_info[0] == 2 else iter131)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.store_silent_ms is not None:
@@ -3997,8 +4041,8 @@
         if self.canceled is not None:
             oprot.writeFieldBegin('canceled', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.canceled))
-            for iter125 in self.canceled:
-                iter125.write(oprot)
+            for iter132 in self.canceled:
+                iter132.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4147,11 +4191,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = KnownEntry()
-                        _elem131.read(iprot)
-                        self.entries.append(_elem131)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = KnownEntry()
+                        _elem138.read(iprot)
+                        self.entries.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4168,8 +4212,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter132 in self.entries:
-                iter132.write(oprot)
+            for iter139 in self.entries:
+                iter139.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4333,11 +4377,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.steps = []
-                    (_etype136, _size133) = iprot.readListBegin()
-                    for _i137 in range(_size133):
-                        _elem138 = RunStep()
-                        _elem138.read(iprot)
-                        self.steps.append(_elem138)
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = RunStep()
+                        _elem145.read(iprot)
+                        self.steps.append(_elem145)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4360,8 +4404,8 @@
         if self.steps is not None:
             oprot.writeFieldBegin('steps', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.steps))
-            for iter139 in self.steps:
-                iter139.write(oprot)
+            for iter146 in self.steps:
+                iter146.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.state is not None:
@@ -4622,6 +4666,8 @@
     (12, TType.I32, 'failures', None, None, ),  # 12
     (13, TType.DOUBLE, 'wanted', None, None, ),  # 13
     (14, TType.I32, 'entries', None, None, ),  # 14
+    (15, TType.LIST, 'forecast_cpu', (TType.I32, None, False), None, ),  # 15
+    (16, TType.I32, 'waiting_orders', None, None, ),  # 16
 )
 all_structs.append(RunOrder)
 RunOrder.thrift_spec = (
@@ -4638,6 +4684,7 @@
     (10, TType.STRING, 'label', 'UTF8', None, ),  # 10
     (11, TType.STRING, 'pool', 'UTF8', None, ),  # 11
     (12, TType.I32, 'max_per_worker', None, None, ),  # 12
+    (13, TType.I32, 'wait_ms', None, None, ),  # 13
 )
 all_structs.append(RunOrders)
 RunOrders.thrift_spec = (
--- a/thrift/azurepier.thrift
+++ b/thrift/azurepier.thrift
@@ -228,6 +228,11 @@
   12: i32 failures          // tasks that failed in a row, of distinct jobs
   13: double wanted         // cores that the other entries want of it
   14: i32 entries           // entries that it serves
+  // Set where orders may wait; older versions don't send them. Free CPU
+  // expected after 25, 50, 100, 200 and 400 ms, with the waiting orders
+  // started, and number of orders that wait.
+  15: list<i32> forecast_cpu
+  16: i32 waiting_orders
 }
 
 struct RunOrder {
@@ -244,6 +249,7 @@
   10: string label          // label that it must have, if any
   11: string pool
   12: i32 max_per_worker    // tasks of the step there at a time, if limited
+  13: i32 wait_ms           // how long it may wait for room; not if absent
 }
 
 struct RunOrders {
