Cancel jobs whose route was removed or has moved

The application for callers answered 404 to each request whose route isn't in the newest version before it looked at the method. So a DELETE never reached the entries for a job that was accepted on a route which a version has removed. Below a shorter prefix that remained, the id was read as 'q/a' instead of 'a' and the DELETE was acknowledged with 410 without an effect.

An entry remembers up to 10,000 routes of earlier versions, so that it answers 404 only below a route that it has never had.

--- a/azurepier/dispatch/_config.py
+++ b/azurepier/dispatch/_config.py
@@ -21,6 +21,10 @@
 # each repetition, since a peer may be unable to decode the version (s).
 OFFER_TIMEOUT_S = 1.25
 OFFER_TIMEOUT_MAX_S = 20.0
+# Maximum number of routes of earlier versions that are remembered. At the
+# design scale of 12,000 changes a day this covers most of a day, while jobs
+# last for less than a minute.
+FORMER_ROUTES_MAX = 10_000
 
 
 @attrs.frozen
@@ -49,6 +53,7 @@
     out = hear(node, routing.version, event.source, now)
     if node.routing is None:
         out.append(_model.FirstConfigApplied())
+    _remember_routes(node, routing)
     node.routing = routing
     node.dirty = True
     fields = {
@@ -66,6 +71,28 @@
     return out
 
 
+def _remember_routes(node, routing):
+    """Note the routes that a new version removes.
+
+    Jobs that were accepted on them may still be running, and are canceled with
+    requests to these routes.
+    """
+    former = node.former_routes
+    for route in routing.queues:
+        former.pop(route, None)
+    queues = {} if node.routing is None else node.routing.queues
+    for route in queues:
+        if route not in routing.queues:
+            former[route] = None
+    while len(former) > FORMER_ROUTES_MAX:
+        former.popitem(last=False)
+
+
+def had_route(node, host, path):
+    """Tell whether an earlier version had a route to a queue for this path."""
+    return _model.find_route(node.former_routes, host, path) is not None
+
+
 def hear(node, version, source, now):
     """Note a version that is newer than all that this entry has heard of."""
     if version <= node.config_heard:
--- a/azurepier/dispatch/_model.py
+++ b/azurepier/dispatch/_model.py
@@ -190,10 +190,22 @@
     -------
     tuple of (Queue or None, str)
     """
+    route = find_route(routing.queues, host, path)
+    return (None, '') if route is None else (routing.queues[route], route[1])
+
+
+def find_route(routes, host, path):
+    """Return the route with the longest matching prefix, None if none matches.
+
+    Parameters
+    ----------
+    routes : container of tuple
+        ``(host, path prefix)`` of each route.
+    host, path : str
+    """
     end = len(path)
     while (end := path.rfind('/', 0, end)) >= 0:
-        prefix = path[: end + 1]
-        queue = routing.queues.get((host, prefix))
-        if queue is not None:
-            return queue, prefix
-    return None, ''
+        route = host, path[: end + 1]
+        if route in routes:
+            return route
+    return None
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -297,6 +297,8 @@
         factory=collections.OrderedDict
     )
     routing: object = None
+    # Routes of earlier versions, ``(host, path prefix)``, the latest last.
+    former_routes: dict = attrs.field(factory=collections.OrderedDict)
     # Newest version of the configuration that this entry has heard of, -1 for
     # none, and when (s).
     config_heard: int = -1
