Acknowledge a cancel once the other entries have confirmed it

An entry answered 410 as soon as it had passed a cancel on to the entries that it was connected to, even if there were none. An entry that was cut off so acknowledged cancels of jobs that went on elsewhere.

An entry without the job now sends a check over the links between entries, behind the cancel, and answers 410 when all known entries have confirmed. If some are missing for 2 s, it answers 410 only in the greater part of the deployment or with all endpoint processes, else 503 and Retry-After. Endpoint processes record cancels, stop the runs and refuse the orders of canceled jobs, and pass cancels on to entries that haven't sent them, so that a cancel takes any path that remains and survives its entry. Processes of earlier builds neither confirm nor are waited for beyond 2 s. An entry that doesn't know the route of a job asks the others whether they had it.

test_number_of_messages counted all messages with cancels and now counts those between entries with the same limit, and those to and from endpoint processes, which are new, with limits of their own. The mechanism 'new connections get the canceled jobs' disables the ways over endpoint processes too, since one way is enough; another test covers the records that entries send to each other.

--- a/azurepier/dispatch/__init__.py
+++ b/azurepier/dispatch/__init__.py
@@ -9,7 +9,9 @@
 
 _SOURCES = {
     'CallersConfirmed': 'azurepier.dispatch._model:CallersConfirmed',
+    'CancelConfirmed': 'azurepier.dispatch._model:CancelConfirmed',
     'CancelJob': 'azurepier.dispatch._model:CancelJob',
+    'CancelUnconfirmed': 'azurepier.dispatch._model:CancelUnconfirmed',
     'Canceled': 'azurepier.dispatch._model:Canceled',
     'CloseIdleCallers': 'azurepier.dispatch._model:CloseIdleCallers',
     'ConfirmCallers': 'azurepier.dispatch._model:ConfirmCallers',
@@ -35,6 +37,7 @@
     'handle': 'azurepier.dispatch._node:handle',
     'is_ready': 'azurepier.dispatch._node:is_ready',
     'decode_policy': 'azurepier.dispatch._policy:decode_policy',
+    'canceled_jobs': 'azurepier.dispatch._canceled_jobs',
     'knows': 'azurepier.dispatch._node:knows',
     'load_policy': 'azurepier.dispatch._policy:load_policy',
     'policy': 'azurepier.dispatch._policy',
@@ -47,7 +50,9 @@
 
 __all__ = [
     'CallersConfirmed',
+    'CancelConfirmed',
     'CancelJob',
+    'CancelUnconfirmed',
     'Canceled',
     'CloseIdleCallers',
     'ConfirmCallers',
@@ -73,6 +78,7 @@
     'had_route',
     'handle',
     'is_ready',
+    'canceled_jobs',
     'knows',
     'load_policy',
     'policy',
--- a/azurepier/dispatch/_callers.py
+++ b/azurepier/dispatch/_callers.py
@@ -138,6 +138,7 @@
 def on_abandon(node, event, now):
     """Stop a job's runs when the last of its callers has disconnected."""
     node.canceled_reqs.discard(event.req)
+    node.cancel_checks.waits.pop(event.req, None)
     job = node.job_by_req.get(event.req)
     if job is None:
         return []
--- a/azurepier/dispatch/_links.py
+++ b/azurepier/dispatch/_links.py
@@ -1,6 +1,8 @@
 """Connections of an entry to endpoint processes."""
 
 from azurepier.dispatch import _bounds
+from azurepier.dispatch import _cancel
+from azurepier.dispatch import _cancel_checks
 from azurepier.dispatch import _demand
 from azurepier.dispatch import _evacuation
 from azurepier.dispatch import _peers
@@ -29,6 +31,7 @@
     endpoint.evacuated = _evacuation.is_evacuated(node, endpoint.domain)
     endpoint.last_received_at = now
     node.by_conn[conn] = endpoint
+    _cancel_checks.on_endpoint_connected(node, endpoint.name)
     out.append(
         effects.Log(
             'endpoint_connected',
@@ -39,12 +42,14 @@
         demand = _demand.demand_per_endpoint(node)
         msg = _evacuation.make_heartbeat(node, demand)
         out.append(effects.Send(conn, msg))
+    out += _cancel.send_all_to_endpoint(node, conn, now)
     return out + _peers.send_roster(node, endpoint, now)
 
 
 def mark_disconnected(node, endpoint, reason, now):
     """Mark an endpoint as disconnected and keep its runs until they expire."""
     node.by_conn.pop(endpoint.conn, None)
+    _cancel_checks.on_endpoint_lost(node, endpoint, now)
     endpoint.conn = None
     endpoint.accepting = False
     endpoint.runs_expire_at = now + _bounds.RUN_EXPIRY_S
@@ -201,8 +206,8 @@
 
 
 def on_heartbeat(node, endpoint, msg, now):
-    """Ignore the content; only the time of receipt matters."""
-    return []
+    """Apply the cancels that an endpoint process passes on."""
+    return _cancel.on_update(node, endpoint.conn, endpoint.name, msg, now)
 
 
 def on_heartbeat_timer(node, _, now):
@@ -263,4 +268,4 @@
     for conn, endpoint in list(node.by_conn.items()):
         out.append(effects.Abort(conn))
         out += mark_disconnected(node, endpoint, reason, now)
-    return out + _peers.abort_connections(node, reason)
+    return out + _peers.abort_connections(node, reason, now)
--- a/azurepier/dispatch/_model.py
+++ b/azurepier/dispatch/_model.py
@@ -132,9 +132,41 @@
 
 @attrs.frozen
 class CancelJob:
-    """A caller cancels a job, which another entry may have."""
+    """A caller cancels a job, which another entry may have.
+
+    Parameters
+    ----------
+    job_id : str
+    req : int or None
+        Request that gets the answer, None if nobody waits for one.
+    knows_route : bool
+        Whether the path of the request has or had a queue here. If not, the
+        answer says whether an entry had the job.
+    """
 
     job_id: str
+    req: int | None = None
+    knows_route: bool = True
+
+
+@attrs.frozen
+class CancelConfirmed:
+    """Answer to a cancel that no entry can miss any more.
+
+    Parameters
+    ----------
+    had_job : bool
+        Whether this entry had the job or, if the route isn't known, another.
+    """
+
+    had_job: bool
+
+
+@attrs.frozen
+class CancelUnconfirmed:
+    """Answer to a cancel that an entry with the job may have missed."""
+
+    retry_after_s: int
 
 
 @attrs.frozen
--- a/azurepier/dispatch/_node.py
+++ b/azurepier/dispatch/_node.py
@@ -3,6 +3,7 @@
 from azurepier.dispatch import _bounds
 from azurepier.dispatch import _callers
 from azurepier.dispatch import _cancel
+from azurepier.dispatch import _cancel_checks
 from azurepier.dispatch import _config
 from azurepier.dispatch import _drain
 from azurepier.dispatch import _evacuation
@@ -36,6 +37,7 @@
         started_at=now,
         last_event_at=now,
         store_seen_at=now,
+        cancel_checks=_cancel_checks.Checks(),
         roster=membership.Roster(
             options.name, options.domain, options.seeds, options.address
         ),
@@ -77,7 +79,7 @@
         rejected = _model.Rejected('internal', INTERNAL_ERROR_RETRY_S, verdict)
         out += _runs.finish_job(node, job, rejected, now)
     node.unsent_orders.clear()
-    for key in ('heartbeat', 'dial'):
+    for key in ('heartbeat', 'dial', 'cancels', 'cancel_check'):
         node.timers.set_no_later_than(key, now)
     node.dirty = False
     node.timers.set('pass', now)
@@ -86,7 +88,11 @@
 
 def knows(node, req):
     """Tell whether a caller's request is still unanswered."""
-    return req in node.job_by_req or req in node.canceled_reqs
+    return (
+        req in node.job_by_req
+        or req in node.canceled_reqs
+        or req in node.cancel_checks.waits
+    )
 
 
 def is_ready(node, now):
@@ -147,7 +153,7 @@
         return _links.mark_disconnected(node, endpoint, 'closed', now)
     peer = node.peers.get(event.conn)
     if peer is not None:
-        return _peers.remove_peer(node, peer, 'closed')
+        return _peers.remove_peer(node, peer, 'closed', now)
     return []
 
 
@@ -212,6 +218,8 @@
 _TIMERS = {
     'heartbeat': _links.on_heartbeat_timer,
     'dial': _peers.on_dial_timer,
+    'cancels': _cancel.on_endpoint_timer,
+    'cancel_check': _cancel_checks.on_timer,
     'transfer': _transfer.on_timer,
     'runs_expired': _links.on_runs_expired,
     'pass': _pass.on_pass_timer,
--- a/azurepier/dispatch/_peers.py
+++ b/azurepier/dispatch/_peers.py
@@ -9,6 +9,7 @@
 
 from azurepier.dispatch import _bounds
 from azurepier.dispatch import _cancel
+from azurepier.dispatch import _cancel_checks
 from azurepier.dispatch import _config
 from azurepier.dispatch import _evacuation
 from azurepier.dispatch import _state
@@ -34,6 +35,8 @@
         Version of the roster that was last sent, and the time (s).
     sends_parts : bool
         Whether it asks for configurations, and sends them, in parts.
+    relays_cancels : bool
+        Whether it confirms cancels.
     config_version : int
         Newest version of the configuration that it reports to have applied.
     offered_version, offer_count : int
@@ -51,6 +54,7 @@
     last_received_at: float
     dialed: bool = False
     sends_parts: bool = False
+    relays_cancels: bool = False
     config_version: int = -1
     offered_version: int = -1
     offer_count: int = 0
@@ -73,7 +77,7 @@
             # Both entries dialled at the same time; only the one with the
             # lower address closes the older connection.
             out.append(effects.Close(other.conn))
-            out += remove_peer(node, other, 'replaced')
+            out += remove_peer(node, other, 'replaced', now)
     peer = Peer(
         hello.name,
         hello.incarnation,
@@ -83,6 +87,7 @@
         now,
         dialed=dialed,
         sends_parts=bool(hello.config_parts),
+        relays_cancels=bool(hello.relays_cancels),
     )
     node.peers[conn] = peer
     node.roster.learn(peer.address, peer.domain, now)
@@ -103,21 +108,24 @@
     return node.options.address < hello.address
 
 
-def remove_peer(node, peer, reason):
+def remove_peer(node, peer, reason, now):
     """Remove the connection to another entry."""
     del node.peers[peer.conn]
     _transfer.on_peer_removed(node, peer)
+    out = _cancel_checks.on_peer_removed(node, peer, now)
     return [
+        *out,
         effects.Log(
             'entry_disconnected', {'entry': peer.name, 'reason': reason}
-        )
+        ),
     ]
 
 
 def on_heartbeat(node, peer, msg, now):
     """Apply the peer's updates, and send it the configuration if newer."""
     out = _evacuation.on_peer_update(node, peer, msg)
-    out += _cancel.on_peer_update(node, peer, msg, now)
+    out += _cancel.on_update(node, peer.conn, peer.name, msg, now)
+    out += _cancel_checks.on_peer_update(node, peer, msg, now)
     return out + _config.on_peer_version(node, peer, msg.config_version, now)
 
 
@@ -168,7 +176,7 @@
     for peer in list(node.peers.values()):
         if now - peer.last_received_at > _bounds.IDLE_SILENCE_S:
             out.append(effects.Abort(peer.conn))
-            out += remove_peer(node, peer, 'silent')
+            out += remove_peer(node, peer, 'silent', now)
             continue
         node.roster.learn(peer.address, peer.domain, peer.last_received_at)
         out += send_roster_if_due(node, peer, now)
@@ -196,14 +204,14 @@
     if surplus and connected.issuperset(wanted):
         peer = surplus[0]
         out.append(effects.Close(peer.conn))
-        out += remove_peer(node, peer, 'surplus')
+        out += remove_peer(node, peer, 'surplus', now)
     return out
 
 
-def abort_connections(node, reason):
+def abort_connections(node, reason, now):
     """Abort all connections to other entries."""
     out = []
     for peer in list(node.peers.values()):
         out.append(effects.Abort(peer.conn))
-        out += remove_peer(node, peer, reason)
+        out += remove_peer(node, peer, reason, now)
     return out
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -273,6 +273,11 @@
     # Time of the cancel (s) by job id; requests that wait for the last run.
     canceled_jobs: dict = attrs.field(factory=collections.OrderedDict)
     canceled_reqs: set = attrs.field(factory=set)
+    # Those of the canceled jobs that this entry had; canceled jobs that the
+    # endpoint processes have yet to hear of, by the connections that have.
+    stopped_jobs: dict = attrs.field(factory=collections.OrderedDict)
+    unsent_cancels: dict = attrs.field(factory=dict)
+    cancel_checks: object = None
     woke_at: float | None = None
     timers: Timers = attrs.field(factory=Timers)
     jobs: dict = attrs.field(factory=dict)
@@ -366,6 +371,7 @@
             web_address='',
             config_version=config_version(self),
             config_parts=True,
+            relays_cancels=True,
         )
 
 
--- a/azurepier/dispatch/tests/test_cancel.py
+++ b/azurepier/dispatch/tests/test_cancel.py
@@ -59,6 +59,15 @@
         assert answer == dispatch.Canceled()
         assert fleet.ledger.started == starts
 
+    def test_new_entry_without_endpoint_processes(self):
+        """Guards against records that only endpoint processes pass on."""
+        fleet = testing.make_pool(speeds=())
+        fleet.driver.feed(fleet.entries['e1'], dispatch.CancelJob('job'))
+        fleet.kill_entry('e2')
+        fleet.start_entry('e2')
+        fleet.run_for(1.0)
+        assert 'job' in fleet.entries['e2'].node.canceled_jobs
+
     def test_cancels_are_forgotten(self):
         """Guards against ids that entries teach each other again for good."""
         fleet = testing.make_pool()
@@ -80,12 +89,17 @@
         fleet = testing.make_pool(entries=6)
         call = fleet.submit(2.0, entry='e0')
         fleet.run_for(0.5)
-        sent = []
+        sent = {'entries': 0, 'endpoints': 0, 'relays': 0}
         send = fleet.driver.effect_handlers[effects.Send]
 
         def record(driver, process, effect):
             if getattr(effect.msg, 'canceled', None):
-                sent.append(process.name)
+                if process.name not in fleet.entries:
+                    sent['relays'] += 1
+                elif effect.conn in process.node.peers:
+                    sent['entries'] += 1
+                else:
+                    sent['endpoints'] += 1
             send(driver, process, effect)
 
         fleet.driver.effect_handlers[effects.Send] = record
@@ -93,7 +107,10 @@
             cancel(fleet, call, name)
         fleet.run_for(5.0)
         links = sum(len(each.node.peers) for each in fleet.entries.values())
-        assert 5 <= len(sent) <= links
+        assert 5 <= sent['entries'] <= links
+        assert 1 <= sent['endpoints'] <= 6 * len(fleet.endpoints)
+        # Every entry has told the endpoint processes by itself.
+        assert sent['relays'] == 0
 
     def test_waiting_caller_outlives_the_failure_of_a_handler(self):
         """Guards against an error as the answer to a canceled job.
--- a/azurepier/dispatch/tests/test_mechanisms.py
+++ b/azurepier/dispatch/tests/test_mechanisms.py
@@ -3,11 +3,14 @@
 Each test must fail when the mechanism that it covers is disabled.
 """
 
+import functools
+
 import attrs
 import pytest
 
 from azurepier.dispatch import _bounds
 from azurepier.dispatch import _cancel
+from azurepier.dispatch import _cancel_checks
 from azurepier.dispatch import _crashes
 from azurepier.dispatch import _drain
 from azurepier.dispatch import _evacuation
@@ -17,6 +20,7 @@
 from azurepier.dispatch import _progress
 from azurepier.dispatch import _transfer
 from azurepier.dispatch.tests import test_cancel as cancels
+from azurepier.dispatch.tests import test_cancel_checks as checks
 from azurepier.dispatch.tests import test_crashes as crashes
 from azurepier.dispatch.tests import test_evacuation as evacuation
 from azurepier.dispatch.tests import test_faults as faults
@@ -30,6 +34,7 @@
 from azurepier.kernel import Status
 from azurepier import membership
 from azurepier import runner
+from azurepier.runner import _cancels
 from azurepier.runner import _capacity
 from azurepier.runner import _crashes as runner_crashes
 from azurepier.runner import _ends
@@ -47,6 +52,9 @@
 from azurepier.runner import _trial
 
 CancelTests = cancels.TestCancel
+CutOffTests = checks.TestCutOff
+LostEntryTests = checks.TestLostEntries
+OtherPathTests = checks.TestOtherPaths
 PropagationTests = evacuation.TestPropagation
 EntryTests = faults.TestEntry
 OtherKindTests = unsuitable.TestReturnAsAnotherKind
@@ -151,6 +159,50 @@
 
 def _forget_cancels(patch):
     patch.setattr(_cancel, 'send_all', _no_effects)
+    patch.setattr(_cancels, '_send', _no_effects)
+    _take_orders_of_canceled_jobs(patch)
+
+
+def _forget_cancels_between_entries(patch):
+    patch.setattr(_cancel, 'send_all', _no_effects)
+
+
+def _keep_cancels_from_endpoints(patch):
+    patch.setitem(_node._TIMERS, 'cancels', _no_effects)
+
+
+def _keep_cancels_at_endpoints(patch):
+    patch.setitem(runner_node._TIMERS, 'cancels', _no_effects)
+
+
+def _take_orders_of_canceled_jobs(patch):
+    patch.setattr(_cancels, 'refuses', lambda *args: False)
+
+
+def _acknowledge_at_once(patch):
+    patch.setattr(_cancel_checks, '_start', _confirm_all)
+
+
+def _confirm_all(node, now):
+    checks = node.cancel_checks
+    check = _cancel_checks.Check(now, None)
+    return [
+        effect
+        for req, wait in list(checks.waits.items())
+        for effect in _cancel_checks._confirm(node, req, wait, check, now)
+    ]
+
+
+def _wait_for_lost_links(patch):
+    patch.setattr(_cancel_checks, 'on_peer_removed', _no_effects)
+
+
+def _wait_for_all_entries(patch):
+    patch.setattr(_cancel_checks, '_is_greater_part', lambda *args: False)
+
+
+def _overlook_missing_entries(patch):
+    patch.setattr(_cancel_checks, '_is_greater_part', lambda *args: True)
 
 
 def _ignore_evacuation_at_endpoints(patch):
@@ -320,6 +372,42 @@
         _forget_cancels,
         CancelTests().test_restarted_entry_gets_the_job_again,
     ),
+    'entries send canceled jobs to new entries': (
+        _forget_cancels_between_entries,
+        CancelTests().test_new_entry_without_endpoint_processes,
+    ),
+    'endpoint processes hear of cancels': (
+        _keep_cancels_from_endpoints,
+        functools.partial(
+            OtherPathTests().test_cancel_over_endpoint_processes, 3
+        ),
+    ),
+    'endpoint processes pass cancels on': (
+        _keep_cancels_at_endpoints,
+        OtherPathTests().test_entry_without_the_job,
+    ),
+    'endpoint processes refuse canceled jobs': (
+        _take_orders_of_canceled_jobs,
+        OtherPathTests().test_order_before_its_entry_knows,
+    ),
+    'an acknowledgement waits for a confirmation': (
+        _acknowledge_at_once,
+        functools.partial(CutOffTests().test_isolated_entry, 3, 0.3),
+    ),
+    'a smaller part does not acknowledge': (
+        _overlook_missing_entries,
+        CutOffTests().test_half_of_the_workers,
+    ),
+    'an entry that is gone does not block acknowledgements': (
+        _wait_for_all_entries,
+        functools.partial(
+            LostEntryTests().test_cancel_is_acknowledged, 3, 'kill', 0.0
+        ),
+    ),
+    'a lost link does not block a check': (
+        _wait_for_lost_links,
+        functools.partial(CutOffTests().test_others_acknowledge, 0.0),
+    ),
     'runs of a disconnected entry are stopped': (
         _disable_reconnect_timeout,
         EntryTests().test_killed,
--- a/azurepier/membership/__init__.py
+++ b/azurepier/membership/__init__.py
@@ -20,6 +20,7 @@
 from azurepier.membership._rendezvous import preferred
 from azurepier.membership._rendezvous import rank
 from azurepier.membership._roster import entries_for_endpoint
+from azurepier.membership._roster import EXPIRE_AFTER_S
 from azurepier.membership._roster import EXTRA_PEERS
 from azurepier.membership._roster import GOSSIP_DELAY_S
 from azurepier.membership._roster import GOSSIP_REFRESH_S
@@ -31,6 +32,7 @@
     'Directory',
     'ENTRIES_PER_ENDPOINT',
     'EXTRA_PEERS',
+    'EXPIRE_AFTER_S',
     'Evacuations',
     'EvacuationsLoaded',
     'GIVE_UP_AFTER_S',
--- a/azurepier/runner/_links.py
+++ b/azurepier/runner/_links.py
@@ -4,6 +4,7 @@
 from azurepier.kernel import effects
 from azurepier.kernel import messages
 from azurepier import membership
+from azurepier.runner import _cancels
 from azurepier.runner import _capacity
 from azurepier.runner import _ends
 from azurepier.runner import _evacuation
@@ -44,6 +45,7 @@
     link.conn = event.conn
     link.last_received_at = now
     link.store_silent = False
+    link.relays_cancels = bool(hello.relays_cancels)
     node.by_conn[event.conn] = link
     _evacuation.expect_update(node, now)
     node.roster.learn(hello.address, hello.domain, now)
@@ -66,7 +68,7 @@
     out.append(effects.Log('entry_connected', fields))
     _reports.mark_all_reported(link, now)
     out.append(effects.Send(event.conn, known))
-    return out
+    return out + _cancels.send_all(node, link, now)
 
 
 def _stop_former_runs(node, link, now):
@@ -148,10 +150,11 @@
 
 
 def on_heartbeat(node, link, msg, now):
-    """Store demand and acknowledgement of an entry, and apply its update."""
+    """Store demand and acknowledgement of an entry, and apply its updates."""
     link.demand = msg.demand
     _reports.on_acknowledged(link, msg.reports_received)
-    return _evacuation.on_heartbeat(node, link, msg)
+    out = _evacuation.on_heartbeat(node, link, msg)
+    return out + _cancels.on_heartbeat(node, link, msg, now)
 
 
 def on_entries_known(node, link, msg, now):
--- a/azurepier/runner/_node.py
+++ b/azurepier/runner/_node.py
@@ -6,6 +6,7 @@
 from azurepier.kernel import events
 from azurepier.kernel import messages
 from azurepier import membership
+from azurepier.runner import _cancels
 from azurepier.runner import _capacity
 from azurepier.runner import _crashes
 from azurepier.runner import _ends
@@ -71,7 +72,14 @@
     The next list shows the runs of the worker, and on each new connection
     both sides exchange the runs that they know.
     """
-    for key in ('heartbeat', 'dial', 'list', 'no_entry', 'evacuations'):
+    for key in (
+        'heartbeat',
+        'dial',
+        'list',
+        'no_entry',
+        'evacuations',
+        'cancels',
+    ):
         node.timers.set_no_later_than(key, now)
     node.list_pending = False
     out = _orders.make_starts_unsure(node, now)
@@ -187,6 +195,7 @@
     'forget': _links.on_forget_timer,
     'stop': _stops.on_stop_timer,
     'evacuations': _evacuation.on_check_timer,
+    'cancels': _cancels.on_relay_timer,
     'trial': _trial.on_trial_timer,
     'alone': _suspects.on_alone_timer,
     'drain_check': _on_drain_check,
--- a/azurepier/runner/_orders.py
+++ b/azurepier/runner/_orders.py
@@ -14,6 +14,7 @@
 from azurepier.dispatch import bounds
 from azurepier.kernel import effects
 from azurepier.kernel import Status
+from azurepier.runner import _cancels
 from azurepier.runner import _capacity
 from azurepier.runner import _crashes
 from azurepier.runner import _ends
@@ -57,6 +58,14 @@
     if node.refuses_connections:
         # It may be back as another kind. The next list shows its incarnation.
         out += _requests.mark_unreachable(node, 'refused', now)
+    canceled = [
+        order
+        for order in msg.orders
+        if _cancels.refuses(node, link, order, now)
+    ]
+    # The entry has to know of the cancels before the refusals, or it would
+    # order the runs again at once.
+    out += _cancels.tell(node, link, canceled, now)
     for order in msg.orders:
         link.highest_seq = max(link.highest_seq, order.seq)
         reason = _refusal_reason(node, link, order, now)
@@ -71,6 +80,8 @@
 
 
 def _refusal_reason(node, link, order, now):
+    if _cancels.refuses(node, link, order, now):
+        return _cancels.REASON
     if _evacuation.is_evacuated(node):
         return 'evacuated'
     if not _capacity.accepts(node, now) or link.close_at is not None:
--- a/azurepier/runner/_state.py
+++ b/azurepier/runner/_state.py
@@ -109,6 +109,8 @@
     sends_evacuations : bool
         Whether the entry has sent an update of the evacuations. Builds from
         before these send none, and don't report a silent store either.
+    relays_cancels : bool
+        Whether the entry applies the cancels that this process sends.
     close_at : float or None
         Earliest time at which a surplus connection is closed (s).
     runs : dict of int to Run
@@ -135,6 +137,7 @@
     demand: float = 0.0
     store_silent: bool = False
     sends_evacuations: bool = False
+    relays_cancels: bool = False
     close_at: float | None = None
     runs: dict = attrs.field(factory=dict)
     reports_sent: int = 0
@@ -202,6 +205,11 @@
         unhealthy (s).
     evacuations : Evacuations or None
         None until they are known.
+    canceled_jobs : OrderedDict of str to float
+        Time of the cancel (s) by job id.
+    unsent_cancels : dict of str to set of str
+        Canceled jobs that are to be passed on, with the incarnations of the
+        entries that know of them.
     failed_jobs : set of str
         Jobs whose tasks failed or stalled since the last success.
     failed_at : float
@@ -222,6 +230,8 @@
     by_conn: dict = attrs.field(factory=dict)
     roster: object = None
     evacuations: object = None
+    canceled_jobs: dict = attrs.field(factory=collections.OrderedDict)
+    unsent_cancels: dict = attrs.field(factory=dict)
     worker: object = None
     born: int | None = None
     unconfirmed_reports: dict = attrs.field(factory=dict)
@@ -292,4 +302,5 @@
             slots=1,
             kinds=[],
             largest_size=1,
+            relays_cancels=True,
         )
--- a/azurepier/wire/_codec.py
+++ b/azurepier/wire/_codec.py
@@ -66,6 +66,7 @@
         'nonce',
         'proof',
         'config_parts',
+        'relays_cancels',
     },
     ttypes.ConfigUpdate: {'offset', 'total', 'checksum'},
     ttypes.ConfigRequest: {'version', 'offset'},
@@ -84,6 +85,8 @@
         'store_silent_ms',
         'reports_received',
         'canceled',
+        'cancel_checks',
+        'cancel_confirmations',
     },
 }
 
--- a/azurepier/wire/gen/messages/ttypes.py
+++ b/azurepier/wire/gen/messages/ttypes.py
@@ -37,6 +37,7 @@
      - nonce
      - proof
      - config_parts
+     - relays_cancels
 
     """
 
@@ -57,10 +58,11 @@
         'nonce',
         'proof',
         'config_parts',
+        'relays_cancels',
     )
 
 
-    def __init__(self, protocol=None, role=None, name=None, incarnation=None, session=None, domain=None, address=None, web_address=None, config_version=None, worker=None, slots=None, kinds=None, largest_size=None, nonce=None, proof=None, config_parts=None,):
+    def __init__(self, protocol=None, role=None, name=None, incarnation=None, session=None, domain=None, address=None, web_address=None, config_version=None, worker=None, slots=None, kinds=None, largest_size=None, nonce=None, proof=None, config_parts=None, relays_cancels=None,):
         self.protocol = protocol
         self.role = role
         self.name = name
@@ -77,6 +79,7 @@
         self.nonce = nonce
         self.proof = proof
         self.config_parts = config_parts
+        self.relays_cancels = relays_cancels
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -172,6 +175,11 @@
                     self.config_parts = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.BOOL:
+                    self.relays_cancels = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -249,6 +257,10 @@
             oprot.writeFieldBegin('config_parts', TType.BOOL, 16)
             oprot.writeBool(self.config_parts)
             oprot.writeFieldEnd()
+        if self.relays_cancels is not None:
+            oprot.writeFieldBegin('relays_cancels', TType.BOOL, 17)
+            oprot.writeBool(self.relays_cancels)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3911,6 +3923,241 @@
         return not (self == other)
 
 
+class CancelCheck(object):
+    """
+    Asks which entries have all cancels that were passed on before. Each entry
+    forwards it to the others and confirms once all of these have done so.
+
+    Attributes:
+     - origin
+     - number
+     - job_ids
+
+    """
+
+    __slots__ = (
+        'origin',
+        'number',
+        'job_ids',
+    )
+
+
+    def __init__(self, origin=None, number=None, job_ids=None,):
+        self.origin = origin
+        self.number = number
+        self.job_ids = job_ids
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.origin = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.job_ids = []
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.job_ids.append(_elem124)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CancelCheck')
+        if self.origin is not None:
+            oprot.writeFieldBegin('origin', TType.STRING, 1)
+            oprot.writeString(self.origin.encode('utf-8') if sys.version_info[0] == 2 else self.origin)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.job_ids is not None:
+            oprot.writeFieldBegin('job_ids', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.job_ids))
+            for iter125 in self.job_ids:
+                oprot.writeString(iter125.encode('utf-8') if sys.version_info[0] == 2 else iter125)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CancelConfirmation(object):
+    """
+    Attributes:
+     - origin
+     - number
+     - confirmed
+     - stopped
+     - has_older
+
+    """
+
+    __slots__ = (
+        'origin',
+        'number',
+        'confirmed',
+        'stopped',
+        'has_older',
+    )
+
+
+    def __init__(self, origin=None, number=None, confirmed=None, stopped=None, has_older=None,):
+        self.origin = origin
+        self.number = number
+        self.confirmed = confirmed
+        self.stopped = stopped
+        self.has_older = has_older
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.origin = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.confirmed = []
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.confirmed.append(_elem131)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.stopped = []
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.stopped.append(_elem137)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.has_older = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CancelConfirmation')
+        if self.origin is not None:
+            oprot.writeFieldBegin('origin', TType.STRING, 1)
+            oprot.writeString(self.origin.encode('utf-8') if sys.version_info[0] == 2 else self.origin)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.confirmed is not None:
+            oprot.writeFieldBegin('confirmed', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.confirmed))
+            for iter138 in self.confirmed:
+                oprot.writeString(iter138.encode('utf-8') if sys.version_info[0] == 2 else iter138)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.stopped is not None:
+            oprot.writeFieldBegin('stopped', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRING, len(self.stopped))
+            for iter139 in self.stopped:
+                oprot.writeString(iter139.encode('utf-8') if sys.version_info[0] == 2 else iter139)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.has_older is not None:
+            oprot.writeFieldBegin('has_older', TType.BOOL, 5)
+            oprot.writeBool(self.has_older)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Beat(object):
     """
     Keeps a link alive in both directions.
@@ -3923,6 +4170,8 @@
      - store_silent_ms
      - reports_received
      - canceled
+     - cancel_checks
+     - cancel_confirmations
 
     """
 
@@ -3934,10 +4183,12 @@
         'store_silent_ms',
         'reports_received',
         'canceled',
+        'cancel_checks',
+        'cancel_confirmations',
     )
 
 
-    def __init__(self, config_version=None, demand=None, evacuations_revision=None, evacuated=None, store_silent_ms=None, reports_received=None, canceled=None,):
+    def __init__(self, config_version=None, demand=None, evacuations_revision=None, evacuated=None, store_silent_ms=None, reports_received=None, canceled=None, cancel_checks=None, cancel_confirmations=None,):
         self.config_version = config_version
         self.demand = demand
         self.evacuations_revision = evacuations_revision
@@ -3945,6 +4196,8 @@
         self.store_silent_ms = store_silent_ms
         self.reports_received = reports_received
         self.canceled = canceled
+        self.cancel_checks = cancel_checks
+        self.cancel_confirmations = cancel_confirmations
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3973,10 +4226,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.evacuated = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.evacuated.append(_elem124)
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.evacuated.append(_elem145)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3993,11 +4246,33 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.canceled = []
-                    (_etype128, _size125) = iprot.readListBegin()
-                    for _i129 in range(_size125):
-                        _elem130 = CanceledJob()
-                        _elem130.read(iprot)
-                        self.canceled.append(_elem130)
+                    (_etype149, _size146) = iprot.readListBegin()
+                    for _i150 in range(_size146):
+                        _elem151 = CanceledJob()
+                        _elem151.read(iprot)
+                        self.canceled.append(_elem151)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.cancel_checks = []
+                    (_etype155, _size152) = iprot.readListBegin()
+                    for _i156 in range(_size152):
+                        _elem157 = CancelCheck()
+                        _elem157.read(iprot)
+                        self.cancel_checks.append(_elem157)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.cancel_confirmations = []
+                    (_etype161, _size158) = iprot.readListBegin()
+                    for _i162 in range(_size158):
+                        _elem163 = CancelConfirmation()
+                        _elem163.read(iprot)
+                        self.cancel_confirmations.append(_elem163)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4026,8 +4301,8 @@
         if self.evacuated is not None:
             oprot.writeFieldBegin('evacuated', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.evacuated))
-            for iter131 in self.evacuated:
-                oprot.writeString(iter131.encode('utf-8') if sys.version_info[0] == 2 else iter131)
+            for iter164 in self.evacuated:
+                oprot.writeString(iter164.encode('utf-8') if sys.version_info[0] == 2 else iter164)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.store_silent_ms is not None:
@@ -4041,8 +4316,22 @@
         if self.canceled is not None:
             oprot.writeFieldBegin('canceled', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.canceled))
-            for iter132 in self.canceled:
-                iter132.write(oprot)
+            for iter165 in self.canceled:
+                iter165.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.cancel_checks is not None:
+            oprot.writeFieldBegin('cancel_checks', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.cancel_checks))
+            for iter166 in self.cancel_checks:
+                iter166.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.cancel_confirmations is not None:
+            oprot.writeFieldBegin('cancel_confirmations', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.cancel_confirmations))
+            for iter167 in self.cancel_confirmations:
+                iter167.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4191,11 +4480,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype136, _size133) = iprot.readListBegin()
-                    for _i137 in range(_size133):
-                        _elem138 = KnownEntry()
-                        _elem138.read(iprot)
-                        self.entries.append(_elem138)
+                    (_etype171, _size168) = iprot.readListBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = KnownEntry()
+                        _elem173.read(iprot)
+                        self.entries.append(_elem173)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4212,8 +4501,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter139 in self.entries:
-                iter139.write(oprot)
+            for iter174 in self.entries:
+                iter174.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4377,11 +4666,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.steps = []
-                    (_etype143, _size140) = iprot.readListBegin()
-                    for _i144 in range(_size140):
-                        _elem145 = RunStep()
-                        _elem145.read(iprot)
-                        self.steps.append(_elem145)
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = RunStep()
+                        _elem180.read(iprot)
+                        self.steps.append(_elem180)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4404,8 +4693,8 @@
         if self.steps is not None:
             oprot.writeFieldBegin('steps', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.steps))
-            for iter146 in self.steps:
-                iter146.write(oprot)
+            for iter181 in self.steps:
+                iter181.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.state is not None:
@@ -4454,6 +4743,7 @@
     (14, TType.STRING, 'nonce', 'BINARY', None, ),  # 14
     (15, TType.STRING, 'proof', 'BINARY', None, ),  # 15
     (16, TType.BOOL, 'config_parts', None, None, ),  # 16
+    (17, TType.BOOL, 'relays_cancels', None, None, ),  # 17
 )
 all_structs.append(Proof)
 Proof.thrift_spec = (
@@ -4725,6 +5015,22 @@
     (1, TType.STRING, 'job_id', 'UTF8', None, ),  # 1
     (2, TType.I32, 'age_ms', None, None, ),  # 2
 )
+all_structs.append(CancelCheck)
+CancelCheck.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'origin', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+    (3, TType.LIST, 'job_ids', (TType.STRING, 'UTF8', False), None, ),  # 3
+)
+all_structs.append(CancelConfirmation)
+CancelConfirmation.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'origin', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+    (3, TType.LIST, 'confirmed', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.LIST, 'stopped', (TType.STRING, 'UTF8', False), None, ),  # 4
+    (5, TType.BOOL, 'has_older', None, None, ),  # 5
+)
 all_structs.append(Beat)
 Beat.thrift_spec = (
     None,  # 0
@@ -4736,6 +5042,8 @@
     (6, TType.I32, 'store_silent_ms', None, None, ),  # 6
     (7, TType.I64, 'reports_received', None, None, ),  # 7
     (8, TType.LIST, 'canceled', (TType.STRUCT, [CanceledJob, None], False), None, ),  # 8
+    (9, TType.LIST, 'cancel_checks', (TType.STRUCT, [CancelCheck, None], False), None, ),  # 9
+    (10, TType.LIST, 'cancel_confirmations', (TType.STRUCT, [CancelConfirmation, None], False), None, ),  # 10
 )
 all_structs.append(KnownEntry)
 KnownEntry.thrift_spec = (
--- a/azurepier/wire/tests/test_codec.py
+++ b/azurepier/wire/tests/test_codec.py
@@ -17,6 +17,8 @@
 # Examples by Thrift type: bool, double, i32 and i64.
 BASE_VALUES = {2: True, 4: 1.5, 8: 7, 10: 2**40}
 NESTED = {
+    'CancelCheck',
+    'CancelConfirmation',
     'CanceledJob',
     'EntryInfo',
     'KnownEntry',
--- a/tests/adapter/test_cancels.py
+++ b/tests/adapter/test_cancels.py
@@ -4,6 +4,7 @@
 import pytest
 
 from azurepier import dispatch
+from azurepier.kernel import events
 
 from test_callers import QUEUE
 from test_callers import run_in_loop
@@ -79,3 +80,44 @@
             apply_routes(entry, 2, *prefixes)
             apply_routes(entry, 3)
             assert len(entry.node.former_routes) == limit
+
+
+class TestUnconfirmed:
+    @run_in_loop
+    async def test_entry_that_reaches_nobody(self):
+        """Guards against an acknowledged cancel that no other entry has."""
+        async with running_entry() as entry:
+            others = (('127.0.0.1:1', 'a'), ('127.0.0.1:2', 'a'))
+            entry.shell.feed(events.MembersSeen(others))
+            answer = await entry.answer(entry.cancel('a'))
+            assert ' 503 ' in answer
+            assert 'retry-after: 1\r\n' in answer
+            assert entry.node.canceled_jobs
+
+    @run_in_loop
+    async def test_caller_leaves(self):
+        """Guards against waits that are kept for callers that have left."""
+        async with running_entry() as entry:
+            others = (('127.0.0.1:1', 'a'), ('127.0.0.1:2', 'a'))
+            entry.shell.feed(events.MembersSeen(others))
+            client = entry.cancel('a')
+            await entry.until(lambda: entry.node.cancel_checks.waits)
+            client.close()
+            await entry.until(lambda: not entry.node.cancel_checks.waits)
+            assert not entry.node.counters['cancels_unconfirmed']
+
+    @run_in_loop
+    async def test_route_that_only_another_entry_had(self):
+        """Guards against 404 for a job that a restarted entry doesn't know."""
+        async with running_entry() as entry:
+            seeds = [entry.node.options.address]
+            async with running_entry('e1', seeds) as other:
+                await entry.until(lambda: entry.node.peers)
+                await other.until(lambda: other.node.peers)
+                entry.connect_endpoint()
+                entry.send('a')
+                await entry.until(lambda: len(entry.orders) == 2)
+                other.node.routing = dispatch.Routing(2, {})
+                assert ' 200 ' in await other.answer(other.cancel('a'))
+                assert entry.stopped == [1, 2]
+                assert ' 404 ' in await other.answer(other.cancel('b'))
--- a/thrift/azurepier.thrift
+++ b/thrift/azurepier.thrift
@@ -24,6 +24,9 @@
   // Entries of pools only: the sender asks for configurations in parts and
   // sends them so; earlier versions ignore it.
   16: bool config_parts
+  // Processes of pools only: the sender confirms cancels (entries), or passes
+  // them on and refuses canceled jobs (endpoints); earlier versions don't.
+  17: bool relays_cancels
 }
 
 /** Second message when a shared key is set: proves knowledge of the key. */
@@ -286,6 +289,24 @@
   2: i32 age_ms             // time since the cancel
 }
 
+/**
+ * Asks which entries have all cancels that were passed on before. Each entry
+ * forwards it to the others and confirms once all of these have done so.
+ */
+struct CancelCheck {
+  1: string origin          // incarnation of the entry that asks
+  2: i64 number
+  3: list<string> job_ids   // of which the origin wants to know who had them
+}
+
+struct CancelConfirmation {
+  1: string origin          // as in the check, like the next field
+  2: i64 number
+  3: list<string> confirmed // addresses of entries behind the sender
+  4: list<string> stopped   // jobs of the check that an entry has stopped
+  5: bool has_older         // an entry there is of a version without checks
+}
+
 /** Keeps a link alive in both directions. */
 struct Beat {
   1: i64 config_version
@@ -297,8 +318,11 @@
   // RunsKnown and RunEnds received on this connection; older versions don't
   // send it.
   7: i64 reports_received
-  // Between entries; older versions ignore them.
+  // Older versions ignore them, and don't exchange them with endpoints.
   8: list<CanceledJob> canceled
+  // Between entries that relay cancels.
+  9: list<CancelCheck> cancel_checks
+  10: list<CancelConfirmation> cancel_confirmations
 }
 
 struct KnownEntry {
