Use a worker only as far as the reports in its name agree

decode_report took a heartbeat without labels, capacity or other fields for a valid one, and an endpoint process ignored each report with a lower sequence number than the highest so far. So one heartbeat of another writer, with the worker's start time and a high number, hid all later heartbeats of the worker, also that it drains. A complete one could also add capacity or labels, and one that came before the first list replaced the worker's own.

A report that lacks a field is refused. Reports whose numbers follow each other count as those of one writer, and the worker is used as far as the latest reports of all writers of the last 10 s agree. It takes no runs for 4 s after any report that says 'draining'. A report that continues the worker's numbers can't be told from its own and may add capacity until its next heartbeat.

The reports in test_decode and test_malformed_rows get the fields that they lacked; they were examples of incomplete reports.

--- a/azurepier/dispatch/tests/test_mechanisms.py
+++ b/azurepier/dispatch/tests/test_mechanisms.py
@@ -25,6 +25,7 @@
 from azurepier.dispatch.tests import test_evacuation as evacuation
 from azurepier.dispatch.tests import test_faults as faults
 from azurepier.dispatch.tests import test_former_runs as former_runs
+from azurepier.dispatch.tests import test_heartbeats as heartbeats
 from azurepier.dispatch.tests import test_returned_worker as returned
 from azurepier.dispatch.tests import test_start_under_way as under_way
 from azurepier.dispatch.tests import test_transfer as transfer
@@ -39,6 +40,7 @@
 from azurepier.runner import _crashes as runner_crashes
 from azurepier.runner import _ends
 from azurepier.runner import _evacuation as runner_evacuation
+from azurepier.runner import _heartbeats
 from azurepier.runner import _identity
 from azurepier.runner import _lease
 from azurepier.runner import _lists
@@ -53,6 +55,7 @@
 
 CancelTests = cancels.TestCancel
 CutOffTests = checks.TestCutOff
+DrainingWorkerTests = heartbeats.TestDrain
 LostEntryTests = checks.TestLostEntries
 OtherPathTests = checks.TestOtherPaths
 PropagationTests = evacuation.TestPropagation
@@ -193,6 +196,20 @@
     ]
 
 
+def _use_the_highest_number(patch):
+    def add(self, report, now):
+        latest = self._writers[0].latest if self._writers else None
+        if latest is None or report.sequence > latest.sequence:
+            self._writers = [_heartbeats._Writer(report, now)]
+        return False
+
+    patch.setattr(_heartbeats.Heartbeats, 'add', add)
+
+
+def _forget_drains(patch):
+    patch.setattr(_heartbeats, 'DRAIN_HOLD_S', 0.0)
+
+
 def _wait_for_lost_links(patch):
     patch.setattr(_cancel_checks, 'on_peer_removed', _no_effects)
 
@@ -286,7 +303,9 @@
 
 def _use_unconfirmed_reports(patch):
     def use(node, reported, now):
-        node.unconfirmed_reports[reported.born] = reported
+        seen = _heartbeats.Heartbeats(reported.id)
+        seen.add(reported, now)
+        node.unconfirmed_reports[reported.born] = seen
         event = runner.RunsListed(now, 0, reported.born, (), (), 0)
         return _lists._check_incarnation(node, event, set(), now)
 
@@ -408,6 +427,18 @@
         _wait_for_lost_links,
         functools.partial(CutOffTests().test_others_acknowledge, 0.0),
     ),
+    'a higher number does not hide the reports of the worker': (
+        _use_the_highest_number,
+        functools.partial(
+            DrainingWorkerTests().test_other_writer_says_ready,
+            step=10**6,
+            times=1,
+        ),
+    ),
+    'a drain lasts until the next heartbeat': (
+        _forget_drains,
+        DrainingWorkerTests().test_number_after_that_of_the_drain,
+    ),
     'runs of a disconnected entry are stopped': (
         _disable_reconnect_timeout,
         EntryTests().test_killed,
--- a/azurepier/runner/_identity.py
+++ b/azurepier/runner/_identity.py
@@ -4,10 +4,12 @@
 time is that of the worker's current incarnation. A report may come from any
 program that reaches the address for reports, or from an earlier incarnation.
 It is used only if a list has shown its start time; until then it causes
-nothing but a request for the list.
+nothing but a request for the list. Several writers may know the start time
+(`azurepier.runner._heartbeats`).
 """
 
 from azurepier.kernel import effects
+from azurepier.runner import _heartbeats
 from azurepier.runner import _requests
 
 # Maximum number of reports that wait for a list with their start time. More
@@ -20,12 +22,21 @@
     reported = event.worker
     if reported.born != node.born:
         return _await_confirmation(node, reported, now)
-    previous = node.worker
-    if previous is not None and (
-        reported.id != previous.id or reported.sequence <= previous.sequence
+    heartbeats = node.heartbeats
+    if heartbeats is None or (
+        node.worker is None and heartbeats.worker_id != reported.id
     ):
+        heartbeats = _heartbeats.Heartbeats(reported.id)
+        node.heartbeats = heartbeats
+    if heartbeats.worker_id != reported.id:
         return []
-    return _use_report(node, reported) + _requests.request_list(node, now)
+    out = []
+    if heartbeats.add(reported, now):
+        node.count('reports_differ')
+        fields = {'worker': reported.id, 'sequence': reported.sequence}
+        out.append(effects.Log('worker_reports_differ', fields))
+    out += _use_report(node, heartbeats.agreed(now))
+    return out + _requests.request_list(node, now)
 
 
 def _await_confirmation(node, reported, now):
@@ -39,7 +50,11 @@
             'known_born': node.born,
         }
         out.append(effects.Log('worker_report_unconfirmed', fields))
-    node.unconfirmed_reports[reported.born] = reported
+    heartbeats = node.unconfirmed_reports.get(reported.born)
+    if heartbeats is None or heartbeats.worker_id != reported.id:
+        heartbeats = _heartbeats.Heartbeats(reported.id)
+        node.unconfirmed_reports[reported.born] = heartbeats
+    heartbeats.add(reported, now)
     while len(node.unconfirmed_reports) > UNCONFIRMED_REPORTS_MAX:
         del node.unconfirmed_reports[next(iter(node.unconfirmed_reports))]
     return out + _requests.request_list_now(node, now)
@@ -66,14 +81,14 @@
     return [effects.Log('worker_reported', fields)]
 
 
-def on_listed(node, born):
+def on_listed(node, born, now):
     """Record the start time in a list, and use the report that has it."""
     if born == node.born:
         return []
     node.born = born
-    confirmed = node.unconfirmed_reports.pop(born, None)
-    if confirmed is not None:
-        return _use_report(node, confirmed)
+    node.heartbeats = node.unconfirmed_reports.pop(born, None)
+    if node.heartbeats is not None:
+        return _use_report(node, node.heartbeats.agreed(now))
     if node.worker is not None:
         node.worker = None
         node.changed = True
--- a/azurepier/runner/_lists.py
+++ b/azurepier/runner/_lists.py
@@ -208,7 +208,7 @@
     It may have taken a start before this process knew of it.
     """
     is_known = node.born is None or event.born == node.born
-    out = _identity.on_listed(node, event.born)
+    out = _identity.on_listed(node, event.born, now)
     if is_known:
         return out
     node.acked = 0
--- a/azurepier/runner/_state.py
+++ b/azurepier/runner/_state.py
@@ -163,7 +163,9 @@
     born : int or None
         Start time of that incarnation according to the worker's list (ms since
         1970).
-    unconfirmed_reports : dict of int to Worker
+    heartbeats : Heartbeats or None
+        Reports of that incarnation, from which `worker` follows.
+    unconfirmed_reports : dict of int to Heartbeats
         Reports with another start time, by that time.
     clock_offset_ms : float or None
         The worker's clock minus the clock of this process (ms).
@@ -234,6 +236,7 @@
     unsent_cancels: dict = attrs.field(factory=dict)
     worker: object = None
     born: int | None = None
+    heartbeats: object = None
     unconfirmed_reports: dict = attrs.field(factory=dict)
     clock_offset_ms: float | None = None
     lease_end_at: float = attrs.field(
--- a/tests/adapter/test_decode.py
+++ b/tests/adapter/test_decode.py
@@ -219,6 +219,12 @@
 REPORT = {
     'service': 'pool',
     'state': 'ready',
+    'address': '10.0.0.1:1',
+    'zone': 'z',
+    'version': 'v1',
+    'slots': 8,
+    'cold_left_ms': 0,
+    'clock_ms': 5.5,
     'capacity': {'cpu': 8000, 'mem_mb': 10, 'gpu': 0},
     'labels': ['a'],
     'born': 5,
@@ -258,6 +264,32 @@
         with pytest.raises(InvalidInputError):
             _workers.decode_report('i', body)
 
+    @pytest.mark.parametrize('field', REPORT)
+    @pytest.mark.parametrize('state', ['ready', 'draining'])
+    def test_missing_field(self, field, state):
+        """Guards against the report of another program about the worker."""
+        report = {**REPORT, 'state': state}
+        del report[field]
+        with pytest.raises(InvalidInputError):
+            _workers.decode_report('i', json.dumps(report).encode())
+
+    @pytest.mark.parametrize('field', REPORT)
+    def test_other_type(self, field):
+        """Guards against a field that the worker would send otherwise."""
+        for value in (None, True, [[]] if field != 'labels' else {}):
+            body = json.dumps({**REPORT, field: value}).encode()
+            with pytest.raises(InvalidInputError):
+                _workers.decode_report('i', body)
+
+    @pytest.mark.parametrize('size', REPORT['capacity'])
+    def test_incomplete_capacity(self, size):
+        """Guards against a worker that counts as one without memory."""
+        capacity = dict(REPORT['capacity'])
+        del capacity[size]
+        body = json.dumps({**REPORT, 'capacity': capacity}).encode()
+        with pytest.raises(InvalidInputError):
+            _workers.decode_report('i', body)
+
     def test_not_json(self):
         """Guards against another exception for bytes that are not JSON."""
         with pytest.raises(InvalidInputError):
--- a/tests/adapter/test_malformed_rows.py
+++ b/tests/adapter/test_malformed_rows.py
@@ -217,7 +217,9 @@
 
 class TestReports:
     REPORT = (
-        b'{"service": "p", "state": "ready", "sequence": 1,'
+        b'{"service": "p", "state": "ready", "sequence": 1, "born": 1,'
+        b' "address": "10.0.0.1:1", "zone": "z", "version": "v", "slots": 1,'
+        b' "cold_left_ms": 0, "clock_ms": 1.5,'
         b' "capacity": {"cpu": 1, "mem_mb": 1, "gpu": 0}, "labels": [%b]}'
     )
 
