Simulate the return of a pool after the loss of all processes

Cause: the model had no entry without a configuration and no requests that wait for one, so that the refusals after a loss of all machines could not be replayed.

--- a/azurepier/testing/__init__.py
+++ b/azurepier/testing/__init__.py
@@ -20,6 +20,7 @@
 from azurepier.testing._pool import PoolFleet
 from azurepier.testing._pool import queue
 from azurepier.testing._pool import task_names
+from azurepier.testing import _return as returns
 from azurepier.testing import _scale as scale
 from azurepier.testing import _virtual_loop as virtual_loop
 from azurepier.testing._worker import PoolWorker
@@ -40,6 +41,7 @@
     'make_pool',
     'objective_ratio',
     'queue',
+    'returns',
     'run_load',
     'run_time_factor',
     'scale',
--- a/azurepier/testing/_pool.py
+++ b/azurepier/testing/_pool.py
@@ -70,6 +70,8 @@
     submissions: int = 0
     started_before: int = 0
     abandoned: bool = False
+    # Time for which the request waited for the configuration (s).
+    waited_s: float = 0.0
 
 
 @attrs.define(eq=False, repr=False)
@@ -96,6 +98,11 @@
     unread_leaves : list of (Process, int)
         Entry and request of each caller whose disconnection the entry has not
         read yet.
+    policy : Policy
+        Optional parts in use, for processes that are started from then on.
+    unconfigured : dict of str to list
+        Time and call of the requests that wait for the first configuration,
+        by the name of the entry.
     """
 
     driver: _driver.Driver
@@ -116,6 +123,8 @@
     uneven: float = 0.0
     domains: int = 1
     unread_leaves: list = attrs.field(factory=list)
+    policy: object = dispatch.Policy()
+    unconfigured: dict = attrs.field(factory=dict)
 
     def run_for(self, seconds):
         """Run the simulation for some time (s)."""
@@ -125,8 +134,11 @@
         """Return the failure domain of a process, derived from its name."""
         return f'd{int(name[1:]) % self.domains}'
 
-    def start_entry(self, name):
-        """Start or restart an entry."""
+    def start_entry(self, name, configured=True):
+        """Start or restart an entry.
+
+        An entry that is not `configured` hears of the store with `configure`.
+        """
         self.incarnation_count += 1
         options = dispatch.Options(
             name=name,
@@ -134,6 +146,7 @@
             address=f'{name}:1',
             seeds=tuple(f'e{index}:1' for index in range(3)),
             bounds=Bounds(),
+            policy=self.policy,
         )
         rng = random.Random(f'{name}-{self.incarnation_count}')
         node = dispatch.create(options, rng, self.driver.now)
@@ -142,10 +155,22 @@
         )
         self.entries[name] = process
         self.driver.add(process)
+        self.unconfigured[name] = []
+        if configured:
+            self.configure(name)
+        else:
+            self.store_cut.add(name)
+        return process
+
+    def configure(self, name):
+        """Pass the store's contents to an entry, then waiting requests."""
+        process = self.entries[name]
         self.read_evacuations(process)
         routing = dispatch.Routing(1, {('h', '/q/'): queue()})
         self.driver.feed(process, dispatch.RoutingLoaded(routing))
-        return process
+        for arrived_at, call in self.unconfigured.pop(name, ()):
+            call.waited_s = self.driver.now - arrived_at
+            self._send_to(call, process)
 
     def read_evacuations(self, process):
         """Pass the evacuations to a process unless it is cut off."""
@@ -178,6 +203,7 @@
             seeds=tuple(f'e{index}:1' for index in range(3)),
             generation=self.incarnation_count,
             grace_s=GRACE_S,
+            policy=self.policy,
         )
         rng = random.Random(f'{name}-{self.incarnation_count}')
         node = runner.create(options, rng, self.driver.now)
@@ -281,13 +307,21 @@
             call.entry = names[
                 (len(self.calls) + call.submissions) % len(names)
             ]
-        self.last_req += 1
         call.submissions += 1
+        call.waited_s = 0.0
+        if call.entry in self.unconfigured:
+            waiting = (self.driver.now, call)
+            self.unconfigured[call.entry].append(waiting)
+            return
+        self._send_to(call, self.entries[call.entry])
+
+    def _send_to(self, call, process):
+        self.last_req += 1
         call.req = self.last_req
         call.started_before = self._count_starts(call)
         self.open_calls[call.req] = call
-        event = dispatch.Submit(call.req, call.queue, call.job)
-        self.driver.feed(self.entries[call.entry], event)
+        event = dispatch.Submit(call.req, call.queue, call.job, call.waited_s)
+        self.driver.feed(process, event)
 
     def disconnect_caller(self, call, entry='', read_after_s=0.0):
         """Disconnect a caller, which resubmits to this or another entry.
