Add the number of endpoint processes to heartbeats of entries

Cause: an entry that restarts can't tell how many endpoint processes will connect to it, but the entries that were connected to it can. Change: optional fields 9 and 10 of Beat; earlier builds ignore them.

--- a/azurepier/wire/_codec.py
+++ b/azurepier/wire/_codec.py
@@ -84,6 +84,8 @@
         'store_silent_ms',
         'reports_received',
         'canceled',
+        'endpoints',
+        'receiver_endpoints',
     },
 }
 
--- a/azurepier/wire/gen/messages/ttypes.py
+++ b/azurepier/wire/gen/messages/ttypes.py
@@ -3923,6 +3923,8 @@
      - store_silent_ms
      - reports_received
      - canceled
+     - endpoints
+     - receiver_endpoints
 
     """
 
@@ -3934,10 +3936,12 @@
         'store_silent_ms',
         'reports_received',
         'canceled',
+        'endpoints',
+        'receiver_endpoints',
     )
 
 
-    def __init__(self, config_version=None, demand=None, evacuations_revision=None, evacuated=None, store_silent_ms=None, reports_received=None, canceled=None,):
+    def __init__(self, config_version=None, demand=None, evacuations_revision=None, evacuated=None, store_silent_ms=None, reports_received=None, canceled=None, endpoints=None, receiver_endpoints=None,):
         self.config_version = config_version
         self.demand = demand
         self.evacuations_revision = evacuations_revision
@@ -3945,6 +3949,8 @@
         self.store_silent_ms = store_silent_ms
         self.reports_received = reports_received
         self.canceled = canceled
+        self.endpoints = endpoints
+        self.receiver_endpoints = receiver_endpoints
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4001,6 +4007,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.endpoints = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.receiver_endpoints = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4045,6 +4061,14 @@
                 iter132.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.endpoints is not None:
+            oprot.writeFieldBegin('endpoints', TType.I32, 9)
+            oprot.writeI32(self.endpoints)
+            oprot.writeFieldEnd()
+        if self.receiver_endpoints is not None:
+            oprot.writeFieldBegin('receiver_endpoints', TType.I32, 10)
+            oprot.writeI32(self.receiver_endpoints)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4736,6 +4760,8 @@
     (6, TType.I32, 'store_silent_ms', None, None, ),  # 6
     (7, TType.I64, 'reports_received', None, None, ),  # 7
     (8, TType.LIST, 'canceled', (TType.STRUCT, [CanceledJob, None], False), None, ),  # 8
+    (9, TType.I32, 'endpoints', None, None, ),  # 9
+    (10, TType.I32, 'receiver_endpoints', None, None, ),  # 10
 )
 all_structs.append(KnownEntry)
 KnownEntry.thrift_spec = (
--- a/thrift/azurepier.thrift
+++ b/thrift/azurepier.thrift
@@ -299,6 +299,11 @@
   7: i64 reports_received
   // Between entries; older versions ignore them.
   8: list<CanceledJob> canceled
+  // Between entries; older versions ignore them. Largest recent number of
+  // endpoint processes that accepted orders of the sender, and of the receiver
+  // before it started, as far as the sender knows.
+  9: i32 endpoints
+  10: i32 receiver_endpoints
 }
 
 struct KnownEntry {
