Wait for endpoint processes that are expected to connect

Cause: the capacity counted as known 0.4 s after the first connection, also without a configuration. A pass in which the first endpoint process accepts orders refused all late jobs, since the wait was restarted after the decision. Change: part endpoint_arrival, off by default. Capacity is known from the first configuration once as many endpoint processes accept orders as the entry had, or settle_ms after the latest one, or after max_wait_ms. Jobs that arrived before start late on idle capacity, after those in time and within an equal share of the entry, and are refused as too_late or overload.

--- a/azurepier/dispatch/_callers.py
+++ b/azurepier/dispatch/_callers.py
@@ -1,5 +1,6 @@
 """Submission of jobs, and disconnection of callers."""
 
+from azurepier.dispatch import _arrival
 from azurepier.dispatch import _cancel
 from azurepier.dispatch import _crashes
 from azurepier.dispatch import _demand
@@ -127,7 +128,8 @@
         for each in pool_endpoints
         if _placement.could_fit(each, resources)
     ]
-    if pool_endpoints and not fitting:
+    is_pending = _arrival.is_pending(node, now)
+    if pool_endpoints and not fitting and not is_pending:
         return 'impossible', IMPOSSIBLE_RETRY_S
     all_evacuated = fitting and all(each.evacuated for each in fitting)
     if all_evacuated and not _supply.is_warming_up(node, now):
--- a/azurepier/dispatch/_config.py
+++ b/azurepier/dispatch/_config.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from azurepier.dispatch import _arrival
 from azurepier.dispatch import _model
 from azurepier.dispatch import _state
 from azurepier.dispatch import _transfer
@@ -49,6 +50,7 @@
     out = hear(node, routing.version, event.source, now)
     if node.routing is None:
         out.append(_model.FirstConfigApplied())
+        _arrival.on_first_config(node, now)
     node.routing = routing
     node.dirty = True
     fields = {
--- a/azurepier/dispatch/_links.py
+++ b/azurepier/dispatch/_links.py
@@ -1,5 +1,6 @@
 """Connections of an entry to endpoint processes."""
 
+from azurepier.dispatch import _arrival
 from azurepier.dispatch import _bounds
 from azurepier.dispatch import _demand
 from azurepier.dispatch import _evacuation
@@ -23,6 +24,7 @@
         del node.by_conn[endpoint.conn]
     if not node.by_conn:
         node.warm_up_since = now
+        _arrival.on_first_connection(node, now)
     endpoint.conn = conn
     endpoint.reports_received = 0
     endpoint.accepting = False
@@ -45,6 +47,8 @@
 def mark_disconnected(node, endpoint, reason, now):
     """Mark an endpoint as disconnected and keep its runs until they expire."""
     node.by_conn.pop(endpoint.conn, None)
+    if not node.by_conn:
+        _arrival.on_all_lost(node, now)
     endpoint.conn = None
     endpoint.accepting = False
     endpoint.runs_expire_at = now + _bounds.RUN_EXPIRY_S
@@ -100,6 +104,7 @@
             return [*out, effects.Abort(conn)]
         endpoint.latest_session = msg.session
     update_state(endpoint, msg.state)
+    _arrival.on_state(node, endpoint, now)
     endpoint.runs_expire_at = None
     node.timers.cancel(('runs_expired', endpoint.incarnation))
     out = _log_reconciliation(endpoint, msg)
@@ -156,6 +161,7 @@
 def on_pool_state(node, endpoint, msg, now):
     """Apply the state that an endpoint reports."""
     update_state(endpoint, msg)
+    _arrival.on_state(node, endpoint, now)
     node.dirty = node.dirty or any(job.waiting for job in node.jobs.values())
     return []
 
@@ -211,9 +217,9 @@
     interval_s = _bounds.HEARTBEAT_S if busy else _bounds.IDLE_TICK_S
     node.timers.set('heartbeat', now + interval_s)
     _demand.decay_arrivals(node, now)
-    return _peers.send_heartbeats(node, now) + _send_endpoint_heartbeats(
-        node, now
-    )
+    out = _arrival.on_heartbeat_timer(node, now)
+    out += _peers.send_heartbeats(node, now)
+    return out + _send_endpoint_heartbeats(node, now)
 
 
 def _send_endpoint_heartbeats(node, now):
--- a/azurepier/dispatch/_node.py
+++ b/azurepier/dispatch/_node.py
@@ -1,5 +1,6 @@
 """An entry that dispatches to pools, as a state machine without I/O."""
 
+from azurepier.dispatch import _arrival
 from azurepier.dispatch import _bounds
 from azurepier.dispatch import _callers
 from azurepier.dispatch import _cancel
@@ -129,6 +130,8 @@
         'evacuated_domains': (
             -1 if node.evacuations is None else len(node.evacuations.domains)
         ),
+        'awaiting_endpoints': int(_arrival.is_pending(node, now)),
+        'expected_endpoints': node.arrival.expected,
         'store_silent_s': now - node.store_seen_at,
         'counters': dict(node.counters),
     }
--- a/azurepier/dispatch/_pass.py
+++ b/azurepier/dispatch/_pass.py
@@ -1,5 +1,6 @@
 """Dispatch pass over the waiting jobs: starts and rejections."""
 
+from azurepier.dispatch import _arrival
 from azurepier.dispatch import _bounds
 from azurepier.dispatch import _crashes
 from azurepier.dispatch import _evacuation
@@ -36,7 +37,7 @@
     for job in node.jobs.values():
         if job.waiting:
             by_pool.setdefault(job.queue.pool, []).append(job)
-    out = []
+    out = _arrival.update(node, now)
     for pool, jobs in by_pool.items():
         out += _dispatch_pool(node, pool, jobs, now)
     if by_pool:
@@ -54,8 +55,14 @@
     supply_expected = _supply.is_expected(
         node, pool, bool(open_endpoints), now
     )
-    ordered = _order.sort_jobs(jobs, supply.max_speed, now, supply_expected)
+    arrival = _arrival.make_review(node, open_endpoints, supply, now)
+    ordered = _order.sort_jobs(
+        jobs, supply.max_speed, now, supply_expected or arrival is not None
+    )
     for job in ordered:
+        if arrival is not None and arrival.is_late(job):
+            # These come after all others, below.
+            continue
         node.current_job = job
         _start_tasks(node, open_endpoints, job, now)
     node.current_job = None
@@ -64,10 +71,19 @@
         node, pool, waiting, bool(open_endpoints), now
     )
     unservable = []
-    if not supply_expected:
+    if not supply_expected or arrival is not None:
         unservable = _order.find_unservable(waiting, supply, now)
+    if arrival is not None:
+        unservable = arrival.sort(unservable, supply_expected)
     for job, wait_s, slack_s in unservable:
-        if _placement.has_spare_capacity(open_endpoints, job):
+        if arrival is not None and arrival.covers(job):
+            if arrival.may_start(job):
+                _start_tasks(node, open_endpoints, job, now, allow_late=True)
+                if job.has_started:
+                    continue
+            if arrival.is_servable(job):
+                continue
+        elif _placement.has_spare_capacity(open_endpoints, job):
             # Only slow endpoints are free. A late answer is better than a
             # rejection.
             _start_tasks(node, open_endpoints, job, now, allow_late=True)
@@ -75,7 +91,10 @@
                 continue
         backlog = sum(map(_order.waiting_work, waiting))
         retry_after_s = _order.retry_after_s(backlog / supply.cores, node.rng)
-        rejected = _model.Rejected('overload', retry_after_s)
+        reason = 'overload'
+        if arrival is not None and arrival.is_useless(job):
+            reason, retry_after_s = 'too_late', RETRY_SOON_S
+        rejected = _model.Rejected(reason, retry_after_s)
         fields = {
             'job_id': job.request.id,
             'wait_ms': round(wait_s * MS_PER_S),
--- a/azurepier/dispatch/_peers.py
+++ b/azurepier/dispatch/_peers.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from azurepier.dispatch import _arrival
 from azurepier.dispatch import _bounds
 from azurepier.dispatch import _cancel
 from azurepier.dispatch import _config
@@ -94,6 +95,7 @@
         # evacuated failure domain.
         msg = _evacuation.make_heartbeat(node, 0.0)
         out.append(effects.Send(conn, msg))
+    out += _arrival.send_former_count(node, conn, hello.name, now)
     out += _cancel.send_all(node, conn, now)
     out += send_roster(node, peer, now)
     return out + _config.on_peer_version(node, peer, hello.config_version, now)
@@ -116,6 +118,7 @@
 
 def on_heartbeat(node, peer, msg, now):
     """Apply the peer's updates, and send it the configuration if newer."""
+    _arrival.on_peer_heartbeat(node, peer, msg, now)
     out = _evacuation.on_peer_update(node, peer, msg)
     out += _cancel.on_peer_update(node, peer, msg, now)
     return out + _config.on_peer_version(node, peer, msg.config_version, now)
@@ -163,7 +166,11 @@
 
 def send_heartbeats(node, now):
     """Send due heartbeats to other entries, and abort silent connections."""
-    msg = messages.Beat(config_version=_state.config_version(node), demand=0.0)
+    msg = messages.Beat(
+        config_version=_state.config_version(node),
+        demand=0.0,
+        endpoints=_arrival.own_count(node),
+    )
     out = []
     for peer in list(node.peers.values()):
         if now - peer.last_received_at > _bounds.IDLE_SILENCE_S:
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from azurepier.dispatch import _arrival
 from azurepier.dispatch import _policy
 from azurepier.kernel import Histogram
 from azurepier.kernel import messages
@@ -327,6 +328,7 @@
     # Time at which the first endpoint became available after there was none
     # (s).
     warm_up_since: float = 0.0
+    arrival: object = attrs.field(factory=_arrival.Arrival)
     # Returns the number of open caller connections.
     callers_connected: object = lambda: 0
     unsent_orders: dict = attrs.field(factory=dict)
--- a/azurepier/dispatch/_supply.py
+++ b/azurepier/dispatch/_supply.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from azurepier.dispatch import _arrival
 from azurepier.dispatch import _demand
 from azurepier.dispatch import _order
 from azurepier.dispatch import _placement
@@ -55,6 +56,8 @@
 
 def is_warming_up(node, now):
     """Tell whether the first endpoints have connected only recently."""
+    if _arrival.is_in_use(node):
+        return _arrival.is_awaited(node, now)
     return now - node.warm_up_since < WARM_UP_S
 
 
@@ -71,6 +74,8 @@
     """
     if any_open:
         return is_warming_up(node, now)
+    if _arrival.is_pending(node, now):
+        return True
     since = node.unavailable_since.get(pool, now)
     return now - since < NO_ENDPOINT_TIMEOUT_S
 
