Give the metrics of awaited endpoint processes only where they are used

Cause: with the part off, the names of all metrics have to stay as they are. Change: the gauges exist only with a table endpoint_arrival. Result: azurepier/dispatch/tests/test_arrival.py passes.

--- a/azurepier/dispatch/_arrival.py
+++ b/azurepier/dispatch/_arrival.py
@@ -222,6 +222,16 @@
     return Review(node, open_endpoints, supply, now)
 
 
+def status(node, now):
+    """Return the part's gauges for the metrics, none if it is off."""
+    if node.options.policy.endpoint_arrival is None:
+        return {}
+    return {
+        'awaiting_endpoints': int(is_pending(node, now)),
+        'expected_endpoints': node.arrival.expected,
+    }
+
+
 def _equal_share(endpoints):
     """Return an equal share of the endpoints between their entries (CPU)."""
     return sum(each.cpu / max(each.entry_count, 1) for each in endpoints)
--- a/azurepier/dispatch/_node.py
+++ b/azurepier/dispatch/_node.py
@@ -130,8 +130,7 @@
         'evacuated_domains': (
             -1 if node.evacuations is None else len(node.evacuations.domains)
         ),
-        'awaiting_endpoints': int(_arrival.is_pending(node, now)),
-        'expected_endpoints': node.arrival.expected,
+        **_arrival.status(node, now),
         'store_silent_s': now - node.store_seen_at,
         'counters': dict(node.counters),
     }
--- a/azurepier/dispatch/tests/test_arrival.py
+++ b/azurepier/dispatch/tests/test_arrival.py
@@ -276,6 +276,7 @@
         assert _arrival.own_count(node) is None
         assert node.arrival.known_at is None
         assert not node.arrival.arrived
+        assert _arrival.status(node, fleet.driver.now) == {}
 
     def test_too_few_entries(self):
         """Guards against a part in use below `min_entries`."""
