Show that the tests of awaited endpoint processes need the mechanism

Cause: three tests of failures passed or failed without showing that the mechanism is what they need. Change: each also runs with its mechanism disabled and expects the fault.

--- a/azurepier/dispatch/tests/test_arrival.py
+++ b/azurepier/dispatch/tests/test_arrival.py
@@ -1,6 +1,6 @@
 """Return of endpoint processes, with the part `endpoint_arrival` in use.
 
-Each test fails without the mechanism that it names.
+The tests of failures show that they fail without their mechanism.
 """
 
 import random
@@ -111,11 +111,14 @@
         monkeypatch.setattr(_arrival, '_equal_share', lambda _: 1e9)
         assert play(scenario, POLICY).outcomes['in time'] < in_time
 
-    def test_third_of_the_workers_missing(self):
-        """Guards against jobs without an answer if workers never return."""
-        tally = play(Scenario(missing_share=1 / 3), POLICY)
+    def test_third_of_the_workers_missing(self, monkeypatch):
+        """Guards against refusals before the other workers are back."""
+        scenario = Scenario(missing_share=1 / 3)
+        tally = play(scenario, POLICY)
         assert tally.overload_while_idle == 0
         assert tally.outcomes['unanswered'] == 0
+        monkeypatch.setattr(_arrival, 'is_awaited', lambda *_: False)
+        assert play(scenario, POLICY).overload_while_idle > 0
 
 
 class TestKnownCapacity:
@@ -220,34 +223,45 @@
         monkeypatch.setattr(_arrival, 'is_awaited', lambda node, now: True)
         assert reason() == set()
 
-    def test_impossible_only_once_known(self):
+    def test_impossible_only_once_known(self, monkeypatch):
         """Guards against "impossible" while the large workers are away."""
-        fleet = make_pool(workers=2)
-        fleet.workers['w1'].cpu = 32000
-        for process in fleet.endpoints.values():
-            fleet.driver.kill(process)
-        fleet.run_for(1.0)
-        start_endpoint(fleet, 'w0')
-        fleet.run_for(0.05)
-        call = fleet.submit(0.3, cpu=30000, entry='e0')
-        fleet.run_for(0.1)
-        assert call.body is None
-        start_endpoint(fleet, 'w1')
-        fleet.run_for(2.0)
-        assert call.body == FINISHED
-
-    def test_useless_jobs_are_refused_at_once(self):
+
+        def answer():
+            fleet = make_pool(workers=2)
+            fleet.workers['w1'].cpu = 32000
+            for process in fleet.endpoints.values():
+                fleet.driver.kill(process)
+            fleet.run_for(1.0)
+            start_endpoint(fleet, 'w0')
+            fleet.run_for(0.05)
+            call = fleet.submit(0.3, cpu=30000, entry='e0')
+            fleet.run_for(0.1)
+            start_endpoint(fleet, 'w1')
+            fleet.run_for(2.0)
+            return call.body
+
+        assert answer() == FINISHED
+        monkeypatch.setattr(_arrival, 'is_pending', lambda *_: False)
+        assert answer().reason == 'impossible'
+
+    def test_useless_jobs_are_refused_at_once(self, monkeypatch):
         """Guards against jobs that wait although nothing helps them."""
-        fleet = make_pool()
-        for process in fleet.endpoints.values():
-            fleet.driver.kill(process)
-        fleet.run_for(1.0)
-        call = fleet.submit(0.05, entry='e0')
-        fleet.run_for(0.3)
-        assert call.body is None
-        fleet.run_for(0.3)
-        assert call.body.reason == 'too_late'
-        assert call.body.verdict is dispatch.Verdict.NOT_RUN
+
+        def answer():
+            fleet = make_pool()
+            for process in fleet.endpoints.values():
+                fleet.driver.kill(process)
+            fleet.run_for(1.0)
+            call = fleet.submit(0.05, entry='e0')
+            fleet.run_for(0.3)
+            assert call.body is None
+            fleet.run_for(0.3)
+            return call.body
+
+        assert answer().reason == 'too_late'
+        assert answer().verdict is dispatch.Verdict.NOT_RUN
+        monkeypatch.setattr(_arrival, 'MAX_LATENESS_RATIO', 1e9)
+        assert answer() is None
 
     def test_memory_of_entries_is_bounded(self):
         """Guards against growth with the entries that were ever connected."""
