--- a/azurepier/dispatch/_node.py
+++ b/azurepier/dispatch/_node.py
@@ -1,5 +1,6 @@
 """An entry that dispatches to pools, as a state machine without I/O."""
 
+from azurepier.dispatch import _arrival
 from azurepier.dispatch import _bounds
 from azurepier.dispatch import _callers
 from azurepier.dispatch import _cancel
@@ -135,6 +136,7 @@
         'evacuated_domains': (
             -1 if node.evacuations is None else len(node.evacuations.domains)
         ),
+        **_arrival.status(node, now),
         'store_silent_s': now - node.store_seen_at,
         'counters': dict(node.counters),
     }
--- a/azurepier/wire/_codec.py
+++ b/azurepier/wire/_codec.py
@@ -87,6 +87,8 @@
         'canceled',
         'cancel_checks',
         'cancel_confirmations',
+        'endpoints',
+        'receiver_endpoints',
     },
 }
 
--- a/azurepier/wire/gen/messages/ttypes.py
+++ b/azurepier/wire/gen/messages/ttypes.py
@@ -4172,6 +4172,8 @@
      - canceled
      - cancel_checks
      - cancel_confirmations
+     - endpoints
+     - receiver_endpoints
 
     """
 
@@ -4185,10 +4187,12 @@
         'canceled',
         'cancel_checks',
         'cancel_confirmations',
+        'endpoints',
+        'receiver_endpoints',
     )
 
 
-    def __init__(self, config_version=None, demand=None, evacuations_revision=None, evacuated=None, store_silent_ms=None, reports_received=None, canceled=None, cancel_checks=None, cancel_confirmations=None,):
+    def __init__(self, config_version=None, demand=None, evacuations_revision=None, evacuated=None, store_silent_ms=None, reports_received=None, canceled=None, cancel_checks=None, cancel_confirmations=None, endpoints=None, receiver_endpoints=None,):
         self.config_version = config_version
         self.demand = demand
         self.evacuations_revision = evacuations_revision
@@ -4198,6 +4202,8 @@
         self.canceled = canceled
         self.cancel_checks = cancel_checks
         self.cancel_confirmations = cancel_confirmations
+        self.endpoints = endpoints
+        self.receiver_endpoints = receiver_endpoints
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4276,6 +4282,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.endpoints = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.receiver_endpoints = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4334,6 +4350,14 @@
                 iter167.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.endpoints is not None:
+            oprot.writeFieldBegin('endpoints', TType.I32, 11)
+            oprot.writeI32(self.endpoints)
+            oprot.writeFieldEnd()
+        if self.receiver_endpoints is not None:
+            oprot.writeFieldBegin('receiver_endpoints', TType.I32, 12)
+            oprot.writeI32(self.receiver_endpoints)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5044,6 +5068,8 @@
     (8, TType.LIST, 'canceled', (TType.STRUCT, [CanceledJob, None], False), None, ),  # 8
     (9, TType.LIST, 'cancel_checks', (TType.STRUCT, [CancelCheck, None], False), None, ),  # 9
     (10, TType.LIST, 'cancel_confirmations', (TType.STRUCT, [CancelConfirmation, None], False), None, ),  # 10
+    (11, TType.I32, 'endpoints', None, None, ),  # 11
+    (12, TType.I32, 'receiver_endpoints', None, None, ),  # 12
 )
 all_structs.append(KnownEntry)
 KnownEntry.thrift_spec = (
--- a/thrift/azurepier.thrift
+++ b/thrift/azurepier.thrift
@@ -323,6 +323,11 @@
   // Between entries that relay cancels.
   9: list<CancelCheck> cancel_checks
   10: list<CancelConfirmation> cancel_confirmations
+  // Between entries; older versions ignore them. Largest recent number of
+  // endpoint processes that accepted orders of the sender, and of the receiver
+  // before it started, as far as the sender knows.
+  11: i32 endpoints
+  12: i32 receiver_endpoints
 }
 
 struct KnownEntry {
