Let entries learn how many urgent jobs arrive at the others

An entry knows only the jobs of its own callers, but what has to be kept free for urgent jobs depends on those of all entries that use the same workers.

A heartbeat to an endpoint process may carry, by priority, the endpoint's share in the rate of the entry's arrivals (tasks times cores) and the mean need of a job; the reports of free capacity carry the sum of the other entries. Both fields are optional. An endpoint process only adds what it gets, and sends the field while an entry sends its own. No message is added; nothing sends the fields yet.

PriorityDemand is added to the list of nested structs in azurepier/wire/tests/test_codec.py, as each struct that isn't a message.

Measured: the tests of azurepier/wire pass.

--- /dev/null
+++ b/azurepier/runner/_arriving.py
@@ -0,0 +1,33 @@
+"""Sum of the urgent jobs that arrive at the entries of an endpoint process.
+
+Load pattern: see `azurepier.dispatch._arriving`. The process only adds what
+its entries send; an entry that is disconnected no longer counts.
+"""
+
+from azurepier.dispatch import arriving
+
+
+def on_heartbeat(link, msg):
+    """Store the arrivals of an entry; heartbeats without them change nothing.
+
+    Heartbeats with an update of the evacuations have none.
+    """
+    if msg.arriving is not None:
+        link.arriving = arriving.most_urgent(msg.arriving)
+
+
+def others_arriving(node, link):
+    """Return the sum of the other entries' arrivals.
+
+    Returns
+    -------
+    list of PriorityDemand or None
+        None if no entry sends its arrivals.
+    """
+    if all(each.arriving is None for each in node.by_conn.values()):
+        return None
+    return arriving.add(
+        other.arriving or ()
+        for other in node.by_conn.values()
+        if other is not link
+    )
--- a/azurepier/runner/_capacity.py
+++ b/azurepier/runner/_capacity.py
@@ -1,6 +1,7 @@
 """Free capacity and failures of the worker."""
 
 from azurepier.kernel import messages
+from azurepier.runner import _arriving
 from azurepier.runner import _evacuation
 from azurepier.runner import _lease
 from azurepier.runner import _suspects
@@ -86,4 +87,5 @@
         failures=len(node.failed_jobs),
         wanted=others_demand,
         entries=len(node.by_conn),
+        arriving=_arriving.others_arriving(node, link),
     )
--- a/azurepier/runner/_links.py
+++ b/azurepier/runner/_links.py
@@ -4,6 +4,7 @@
 from azurepier.kernel import effects
 from azurepier.kernel import messages
 from azurepier import membership
+from azurepier.runner import _arriving
 from azurepier.runner import _capacity
 from azurepier.runner import _ends
 from azurepier.runner import _evacuation
@@ -150,6 +151,7 @@
 def on_heartbeat(node, link, msg, now):
     """Store demand and acknowledgement of an entry, and apply its update."""
     link.demand = msg.demand
+    _arriving.on_heartbeat(link, msg)
     _reports.on_acknowledged(link, msg.reports_received)
     return _evacuation.on_heartbeat(node, link, msg)
 
--- a/azurepier/runner/_state.py
+++ b/azurepier/runner/_state.py
@@ -104,6 +104,9 @@
         Time of the last report of the free capacity (s).
     demand : float
         Demand of the entry for this endpoint (cores).
+    arriving : list of PriorityDemand or None
+        Share of this endpoint in the jobs that arrive at the entry; None if
+        the entry doesn't send it.
     store_silent : bool
         Whether the entry has lost contact to the store.
     sends_evacuations : bool
@@ -133,6 +136,7 @@
     report_due: bool = False
     last_sent_at: float = 0.0
     demand: float = 0.0
+    arriving: list | None = None
     store_silent: bool = False
     sends_evacuations: bool = False
     close_at: float | None = None
--- a/azurepier/wire/_codec.py
+++ b/azurepier/wire/_codec.py
@@ -69,7 +69,7 @@
     },
     ttypes.ConfigUpdate: {'offset', 'total', 'checksum'},
     ttypes.ConfigRequest: {'version', 'offset'},
-    ttypes.PoolState: {'forecast_cpu', 'waiting_orders'},
+    ttypes.PoolState: {'forecast_cpu', 'waiting_orders', 'arriving'},
     ttypes.RunOrder: {
         'suspicion',
         'label',
@@ -84,6 +84,7 @@
         'store_silent_ms',
         'reports_received',
         'canceled',
+        'arriving',
     },
 }
 
--- a/azurepier/wire/gen/messages/ttypes.py
+++ b/azurepier/wire/gen/messages/ttypes.py
@@ -2862,6 +2862,100 @@
         return not (self == other)
 
 
+class PriorityDemand(object):
+    """
+    Jobs of one priority that arrive, as far as they concern an endpoint.
+
+    Attributes:
+     - priority
+     - cpu_per_s
+     - job_cpu
+
+    """
+
+    __slots__ = (
+        'priority',
+        'cpu_per_s',
+        'job_cpu',
+    )
+
+
+    def __init__(self, priority=None, cpu_per_s=None, job_cpu=None,):
+        self.priority = priority
+        self.cpu_per_s = cpu_per_s
+        self.job_cpu = job_cpu
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.priority = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.cpu_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.job_cpu = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PriorityDemand')
+        if self.priority is not None:
+            oprot.writeFieldBegin('priority', TType.I32, 1)
+            oprot.writeI32(self.priority)
+            oprot.writeFieldEnd()
+        if self.cpu_per_s is not None:
+            oprot.writeFieldBegin('cpu_per_s', TType.DOUBLE, 2)
+            oprot.writeDouble(self.cpu_per_s)
+            oprot.writeFieldEnd()
+        if self.job_cpu is not None:
+            oprot.writeFieldBegin('job_cpu', TType.I32, 3)
+            oprot.writeI32(self.job_cpu)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PoolState(object):
     """
     What an endpoint can take; sent when it changes.
@@ -2883,6 +2977,7 @@
      - entries
      - forecast_cpu
      - waiting_orders
+     - arriving
 
     """
 
@@ -2903,10 +2998,11 @@
         'entries',
         'forecast_cpu',
         'waiting_orders',
+        'arriving',
     )
 
 
-    def __init__(self, pool=None, labels=None, cpu=None, mem_mb=None, gpu=None, free_cpu=None, free_mem_mb=None, free_gpu=None, accepting=None, seen=None, speed=None, failures=None, wanted=None, entries=None, forecast_cpu=None, waiting_orders=None,):
+    def __init__(self, pool=None, labels=None, cpu=None, mem_mb=None, gpu=None, free_cpu=None, free_mem_mb=None, free_gpu=None, accepting=None, seen=None, speed=None, failures=None, wanted=None, entries=None, forecast_cpu=None, waiting_orders=None, arriving=None,):
         self.pool = pool
         self.labels = labels
         self.cpu = cpu
@@ -2923,6 +3019,7 @@
         self.entries = entries
         self.forecast_cpu = forecast_cpu
         self.waiting_orders = waiting_orders
+        self.arriving = arriving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3023,6 +3120,17 @@
                     self.waiting_orders = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.LIST:
+                    self.arriving = []
+                    (_etype78, _size75) = iprot.readListBegin()
+                    for _i79 in range(_size75):
+                        _elem80 = PriorityDemand()
+                        _elem80.read(iprot)
+                        self.arriving.append(_elem80)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3040,8 +3148,8 @@
         if self.labels is not None:
             oprot.writeFieldBegin('labels', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.labels))
-            for iter75 in self.labels:
-                oprot.writeString(iter75.encode('utf-8') if sys.version_info[0] == 2 else iter75)
+            for iter81 in self.labels:
+                oprot.writeString(iter81.encode('utf-8') if sys.version_info[0] == 2 else iter81)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cpu is not None:
@@ -3095,14 +3203,21 @@
         if self.forecast_cpu is not None:
             oprot.writeFieldBegin('forecast_cpu', TType.LIST, 15)
             oprot.writeListBegin(TType.I32, len(self.forecast_cpu))
-            for iter76 in self.forecast_cpu:
-                oprot.writeI32(iter76)
+            for iter82 in self.forecast_cpu:
+                oprot.writeI32(iter82)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.waiting_orders is not None:
             oprot.writeFieldBegin('waiting_orders', TType.I32, 16)
             oprot.writeI32(self.waiting_orders)
             oprot.writeFieldEnd()
+        if self.arriving is not None:
+            oprot.writeFieldBegin('arriving', TType.LIST, 17)
+            oprot.writeListBegin(TType.STRUCT, len(self.arriving))
+            for iter83 in self.arriving:
+                iter83.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3370,21 +3485,21 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.orders = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = RunOrder()
-                        _elem82.read(iprot)
-                        self.orders.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = RunOrder()
+                        _elem89.read(iprot)
+                        self.orders.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.specs = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.specs.append(_elem88)
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.specs.append(_elem95)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3401,15 +3516,15 @@
         if self.orders is not None:
             oprot.writeFieldBegin('orders', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.orders))
-            for iter89 in self.orders:
-                iter89.write(oprot)
+            for iter96 in self.orders:
+                iter96.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.specs is not None:
             oprot.writeFieldBegin('specs', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.specs))
-            for iter90 in self.specs:
-                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
+            for iter97 in self.specs:
+                oprot.writeString(iter97.encode('utf-8') if sys.version_info[0] == 2 else iter97)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3464,10 +3579,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.seqs = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = iprot.readI64()
-                        self.seqs.append(_elem96)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = iprot.readI64()
+                        self.seqs.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3484,8 +3599,8 @@
         if self.seqs is not None:
             oprot.writeFieldBegin('seqs', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.seqs))
-            for iter97 in self.seqs:
-                oprot.writeI64(iter97)
+            for iter104 in self.seqs:
+                oprot.writeI64(iter104)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3647,11 +3762,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = RunEnd()
-                        _elem103.read(iprot)
-                        self.ends.append(_elem103)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = RunEnd()
+                        _elem110.read(iprot)
+                        self.ends.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3674,8 +3789,8 @@
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter104 in self.ends:
-                iter104.write(oprot)
+            for iter111 in self.ends:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.state is not None:
@@ -3745,21 +3860,21 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.running = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = iprot.readI64()
-                        self.running.append(_elem110)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = iprot.readI64()
+                        self.running.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype114, _size111) = iprot.readListBegin()
-                    for _i115 in range(_size111):
-                        _elem116 = RunEnd()
-                        _elem116.read(iprot)
-                        self.ends.append(_elem116)
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = RunEnd()
+                        _elem123.read(iprot)
+                        self.ends.append(_elem123)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3787,15 +3902,15 @@
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.running))
-            for iter117 in self.running:
-                oprot.writeI64(iter117)
+            for iter124 in self.running:
+                oprot.writeI64(iter124)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter118 in self.ends:
-                iter118.write(oprot)
+            for iter125 in self.ends:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.state is not None:
@@ -3923,6 +4038,7 @@
      - store_silent_ms
      - reports_received
      - canceled
+     - arriving
 
     """
 
@@ -3934,10 +4050,11 @@
         'store_silent_ms',
         'reports_received',
         'canceled',
+        'arriving',
     )
 
 
-    def __init__(self, config_version=None, demand=None, evacuations_revision=None, evacuated=None, store_silent_ms=None, reports_received=None, canceled=None,):
+    def __init__(self, config_version=None, demand=None, evacuations_revision=None, evacuated=None, store_silent_ms=None, reports_received=None, canceled=None, arriving=None,):
         self.config_version = config_version
         self.demand = demand
         self.evacuations_revision = evacuations_revision
@@ -3945,6 +4062,7 @@
         self.store_silent_ms = store_silent_ms
         self.reports_received = reports_received
         self.canceled = canceled
+        self.arriving = arriving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3973,10 +4091,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.evacuated = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.evacuated.append(_elem124)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.evacuated.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3993,11 +4111,22 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.canceled = []
-                    (_etype128, _size125) = iprot.readListBegin()
-                    for _i129 in range(_size125):
-                        _elem130 = CanceledJob()
-                        _elem130.read(iprot)
-                        self.canceled.append(_elem130)
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = CanceledJob()
+                        _elem137.read(iprot)
+                        self.canceled.append(_elem137)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.arriving = []
+                    (_etype141, _size138) = iprot.readListBegin()
+                    for _i142 in range(_size138):
+                        _elem143 = PriorityDemand()
+                        _elem143.read(iprot)
+                        self.arriving.append(_elem143)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4026,8 +4155,8 @@
         if self.evacuated is not None:
             oprot.writeFieldBegin('evacuated', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.evacuated))
-            for iter131 in self.evacuated:
-                oprot.writeString(iter131.encode('utf-8') if sys.version_info[0] == 2 else iter131)
+            for iter144 in self.evacuated:
+                oprot.writeString(iter144.encode('utf-8') if sys.version_info[0] == 2 else iter144)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.store_silent_ms is not None:
@@ -4041,8 +4170,15 @@
         if self.canceled is not None:
             oprot.writeFieldBegin('canceled', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.canceled))
-            for iter132 in self.canceled:
-                iter132.write(oprot)
+            for iter145 in self.canceled:
+                iter145.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.arriving is not None:
+            oprot.writeFieldBegin('arriving', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.arriving))
+            for iter146 in self.arriving:
+                iter146.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4191,11 +4327,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype136, _size133) = iprot.readListBegin()
-                    for _i137 in range(_size133):
-                        _elem138 = KnownEntry()
-                        _elem138.read(iprot)
-                        self.entries.append(_elem138)
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = KnownEntry()
+                        _elem152.read(iprot)
+                        self.entries.append(_elem152)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4212,8 +4348,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter139 in self.entries:
-                iter139.write(oprot)
+            for iter153 in self.entries:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4377,11 +4513,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.steps = []
-                    (_etype143, _size140) = iprot.readListBegin()
-                    for _i144 in range(_size140):
-                        _elem145 = RunStep()
-                        _elem145.read(iprot)
-                        self.steps.append(_elem145)
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = RunStep()
+                        _elem159.read(iprot)
+                        self.steps.append(_elem159)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4404,8 +4540,8 @@
         if self.steps is not None:
             oprot.writeFieldBegin('steps', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.steps))
-            for iter146 in self.steps:
-                iter146.write(oprot)
+            for iter160 in self.steps:
+                iter160.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.state is not None:
@@ -4649,6 +4785,13 @@
     (7, TType.DOUBLE, 'sent_at', None, None, ),  # 7
     (8, TType.DOUBLE, 'echo', None, None, ),  # 8
 )
+all_structs.append(PriorityDemand)
+PriorityDemand.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'priority', None, None, ),  # 1
+    (2, TType.DOUBLE, 'cpu_per_s', None, None, ),  # 2
+    (3, TType.I32, 'job_cpu', None, None, ),  # 3
+)
 all_structs.append(PoolState)
 PoolState.thrift_spec = (
     None,  # 0
@@ -4668,6 +4811,7 @@
     (14, TType.I32, 'entries', None, None, ),  # 14
     (15, TType.LIST, 'forecast_cpu', (TType.I32, None, False), None, ),  # 15
     (16, TType.I32, 'waiting_orders', None, None, ),  # 16
+    (17, TType.LIST, 'arriving', (TType.STRUCT, [PriorityDemand, None], False), None, ),  # 17
 )
 all_structs.append(RunOrder)
 RunOrder.thrift_spec = (
@@ -4736,6 +4880,7 @@
     (6, TType.I32, 'store_silent_ms', None, None, ),  # 6
     (7, TType.I64, 'reports_received', None, None, ),  # 7
     (8, TType.LIST, 'canceled', (TType.STRUCT, [CanceledJob, None], False), None, ),  # 8
+    (9, TType.LIST, 'arriving', (TType.STRUCT, [PriorityDemand, None], False), None, ),  # 9
 )
 all_structs.append(KnownEntry)
 KnownEntry.thrift_spec = (
--- a/azurepier/wire/tests/test_codec.py
+++ b/azurepier/wire/tests/test_codec.py
@@ -22,6 +22,7 @@
     'KnownEntry',
     'Start',
     'Outcome',
+    'PriorityDemand',
     'RunEnd',
     'RunOrder',
     'RunStep',
--- a/thrift/azurepier.thrift
+++ b/thrift/azurepier.thrift
@@ -212,6 +212,13 @@
 // Pool dispatch: entries that place tasks by the resources of an endpoint
 // (azurepier.dispatch, azurepier.runner).
 
+/** Jobs of one priority that arrive, as far as they concern an endpoint. */
+struct PriorityDemand {
+  1: i32 priority
+  2: double cpu_per_s       // that their tasks take, thousandths of a core a s
+  3: i32 job_cpu            // mean need of all tasks of a job, at one time
+}
+
 /** What an endpoint can take; sent when it changes. */
 struct PoolState {
   1: string pool            // the workers that serve the same queues
@@ -233,6 +240,9 @@
   // started, and number of orders that wait.
   15: list<i32> forecast_cpu
   16: i32 waiting_orders
+  // Jobs of the other entries, the most urgent ones; set while an entry sends
+  // its own. Older versions don't send it.
+  17: list<PriorityDemand> arriving
 }
 
 struct RunOrder {
@@ -299,6 +309,9 @@
   7: i64 reports_received
   // Between entries; older versions ignore them.
   8: list<CanceledJob> canceled
+  // To an endpoint, set where capacity is kept for urgent jobs: the share of
+  // the receiver in the entry's own arrivals. Older versions ignore it.
+  9: list<PriorityDemand> arriving
 }
 
 struct KnownEntry {
