Keep capacity for urgent queues by the jobs that arrive

The capacity kept free of less urgent jobs was 4 % of the pool at any load. In a burst of wide urgent jobs this is less than what is free anyway in gaps that are too small for a task; with few urgent jobs it is more than they need. And a lasting urgent load starved less urgent queues.

With the table `urgent_reserve`, a less urgent job is begun only if the needs of the most demanding of the more urgent priorities stay free: the rate at which its jobs arrive at all entries, over `window_ms`, at least one job of mean width, at most `max_share` of the pool. A queue whose recent starts are below `min_share` of the cores (its entry's equal part of them) goes first and regardless of that. Refused orders don't count as starts: with them counted, a queue got half of its minimum. Arrivals are sent each 0.25 s also to endpoints to which orders are sent, since orders replace heartbeats: without this the entries without urgent jobs of their own knew nothing of the others'.

Without the table all is as before: `_priority` passes on to `_reserve`.

--- a/azurepier/dispatch/_callers.py
+++ b/azurepier/dispatch/_callers.py
@@ -7,7 +7,7 @@
 from azurepier.dispatch import _evacuation
 from azurepier.dispatch import _model
 from azurepier.dispatch import _placement
-from azurepier.dispatch import _reserve
+from azurepier.dispatch import _priority
 from azurepier.dispatch import _runs
 from azurepier.dispatch import _state
 from azurepier.dispatch import _supply
@@ -62,7 +62,7 @@
     job.started_before = request.id in node.started_jobs
     node.current_job = job
     _demand.record_arrival(node, job)
-    _reserve.record_arrival(node, job)
+    _priority.record_arrival(node, job)
     node.jobs[request.id] = job
     node.job_by_req.update(dict.fromkeys(reqs, job))
     node.count('jobs')
--- a/azurepier/dispatch/_links.py
+++ b/azurepier/dispatch/_links.py
@@ -4,6 +4,7 @@
 from azurepier.dispatch import _demand
 from azurepier.dispatch import _evacuation
 from azurepier.dispatch import _peers
+from azurepier.dispatch import _priority
 from azurepier.dispatch import _runs
 from azurepier.dispatch import _state
 from azurepier.kernel import effects
@@ -195,6 +196,7 @@
     endpoint.failures = state.failures
     endpoint.others_demand = state.wanted
     endpoint.entry_count = state.entries
+    endpoint.others_arriving = state.arriving
     for run in endpoint.runs.values():
         if run.seq > state.seen:
             _runs.reserve(endpoint, run.resources)
@@ -219,6 +221,7 @@
 def _send_endpoint_heartbeats(node, now):
     demand = _demand.demand_per_endpoint(node)
     store_silent_ms = _evacuation.store_silent_ms(node, now)
+    arriving = _priority.own_arriving(node, now)
     out = []
     for endpoint in list(node.by_conn.values()):
         if is_silent(endpoint, now):
@@ -229,13 +232,16 @@
         interval_s = (
             _bounds.HEARTBEAT_S if endpoint.runs else _bounds.IDLE_HEARTBEAT_S
         )
-        if _bounds.is_due(now - endpoint.last_sent_at, interval_s):
-            endpoint.last_sent_at = now
+        if _bounds.is_due(
+            now - endpoint.last_sent_at, interval_s
+        ) or _priority.is_update_due(endpoint, arriving, now):
+            endpoint.last_sent_at = endpoint.arriving_sent_at = now
             msg = messages.Beat(
                 config_version=_state.config_version(node),
                 demand=demand,
                 store_silent_ms=store_silent_ms,
                 reports_received=endpoint.reports_received,
+                arriving=arriving.get(endpoint.pool),
             )
             out.append(effects.Send(endpoint.conn, msg))
     return out
--- a/azurepier/dispatch/_node.py
+++ b/azurepier/dispatch/_node.py
@@ -10,6 +10,7 @@
 from azurepier.dispatch import _model
 from azurepier.dispatch import _pass
 from azurepier.dispatch import _peers
+from azurepier.dispatch import _priority
 from azurepier.dispatch import _progress
 from azurepier.dispatch import _runs
 from azurepier.dispatch import _state
@@ -130,6 +131,7 @@
             -1 if node.evacuations is None else len(node.evacuations.domains)
         ),
         'store_silent_s': now - node.store_seen_at,
+        **_priority.status(node, now),
         'counters': dict(node.counters),
     }
 
--- a/azurepier/dispatch/_pass.py
+++ b/azurepier/dispatch/_pass.py
@@ -6,7 +6,7 @@
 from azurepier.dispatch import _model
 from azurepier.dispatch import _order
 from azurepier.dispatch import _placement
-from azurepier.dispatch import _reserve
+from azurepier.dispatch import _priority
 from azurepier.dispatch import _runs
 from azurepier.dispatch import _supply
 from azurepier.kernel import effects
@@ -55,6 +55,7 @@
         node, pool, bool(open_endpoints), now
     )
     ordered = _order.sort_jobs(jobs, supply.max_speed, now, supply_expected)
+    ordered = _priority.sort_jobs(node, open_endpoints, ordered, now)
     for job in ordered:
         node.current_job = job
         _start_tasks(node, open_endpoints, job, now)
@@ -105,7 +106,7 @@
         task = job.waiting[-1]
         if task.not_before > now or task.name in node.run_count_by_task:
             return
-        if not allow_late and _reserve.is_deferred(
+        if not allow_late and _priority.is_deferred(
             node, open_endpoints, job, now
         ):
             return
@@ -116,6 +117,7 @@
         if endpoint is None:
             return
         _runs.start_run(node, endpoint, job, now)
+        _priority.record_start(node, job, now)
 
 
 def _reject_without_endpoint(node, pool, waiting, any_open, now):
--- a/azurepier/dispatch/_policy.py
+++ b/azurepier/dispatch/_policy.py
@@ -91,11 +91,15 @@
         Time of arrivals of urgent jobs for which capacity is kept (ms).
     max_share : float
         Largest share of a pool that is kept.
+    min_share : float
+        Share of a pool's cores up to which a less urgent queue is started
+        without regard to what is kept.
     """
 
     min_entries: int = _min_entries()
-    window_ms: int = attrs.field(default=50, validator=_integer(1, MAX_MS))
+    window_ms: int = attrs.field(default=25, validator=_integer(1, MAX_MS))
     max_share: float = attrs.field(default=0.15, validator=_share)
+    min_share: float = attrs.field(default=0.05, validator=_share)
 
 
 @attrs.frozen(kw_only=True)
--- a/azurepier/dispatch/_runs.py
+++ b/azurepier/dispatch/_runs.py
@@ -5,6 +5,7 @@
 from azurepier.dispatch import _bounds
 from azurepier.dispatch import _crashes
 from azurepier.dispatch import _model
+from azurepier.dispatch import _priority
 from azurepier.dispatch import _state
 from azurepier.kernel import effects
 from azurepier.kernel import messages
@@ -305,6 +306,8 @@
     task.run = None
     if status not in _NOT_RUN_STATUSES:
         job.may_have_run = True
+    else:
+        _priority.withdraw_start(node, job, now)
     return out + _ON_STATUS.get(status, _requeue)(
         node, endpoint, task, reason, now
     )
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -207,6 +207,10 @@
     # Demand of the other entries (cores), and number of connected entries.
     others_demand: float = 0.0
     entry_count: int = 1
+    # Jobs that arrive at the other entries, None if it doesn't report them.
+    others_arriving: list | None = None
+    # Time at which the arrivals here were last sent to it (s).
+    arriving_sent_at: float = 0.0
     last_received_at: float = 0.0
     # Times of the last message sent and of the oldest order since the endpoint
     # last had no runs (s).
@@ -324,6 +328,13 @@
     arrivals_updated_at: float = 0.0
     # Time of the latest arrival (s), by pool and priority of the queue.
     last_arrival_at: dict = attrs.field(factory=dict)
+    # `Arrivals` by pool and priority, and work started recently by pool and
+    # queue, for the reserve that follows the arrivals.
+    arrivals: dict = attrs.field(factory=dict)
+    started_work: dict = attrs.field(factory=dict)
+    # What is kept for urgent jobs, by pool and priority of the jobs that have
+    # to leave it, with the time (s).
+    reserves: dict = attrs.field(factory=dict)
     # Time at which the first endpoint became available after there was none
     # (s).
     warm_up_since: float = 0.0
