Send arrivals at the interval of idle heartbeats

At the interval of idle heartbeats only connections with frequent orders carry more.

The test of the jobs that go first used a load at which the minimum was just missed without them.

--- a/azurepier/dispatch/_priority.py
+++ b/azurepier/dispatch/_priority.py
@@ -34,8 +34,9 @@
 # A need that was computed longer ago is not shown in the metrics (s).
 RECENT_S = 5.0
 # Arrivals are sent to an endpoint after this time (s) even if orders, which
-# replace heartbeats, were sent to it meanwhile.
-SEND_INTERVAL_S = 0.25
+# replace heartbeats, were sent to it meanwhile. It is the interval of idle
+# heartbeats, so that idle connections carry no more messages.
+SEND_INTERVAL_S = _bounds.IDLE_HEARTBEAT_S
 
 
 @attrs.define(eq=False)
--- a/azurepier/dispatch/tests/test_priority.py
+++ b/azurepier/dispatch/tests/test_priority.py
@@ -127,14 +127,15 @@
 
 
 class TestMinimum:
-    def share_served(self):
+    """Urgent jobs for which the capacity is too small, and few others."""
+
+    def share_served(self, urgent_per_s):
         fleet = make_fleet()
         calls = submit_for(
             fleet,
             6.0,
             [
-                # Urgent jobs want twice the capacity.
-                (URGENT, 160, 8, 0.1, ()),
+                (URGENT, urgent_per_s, 8, 0.1, ()),
                 (ORDINARY, 30, 2, 0.3, ()),
             ],
         )
@@ -145,10 +146,14 @@
         ]
         return sum(served) / len(served)
 
-    def test_lasting_urgent_load(self):
+    def test_twice_the_capacity(self):
         """Guards against starvation of a less urgent queue."""
         # The minimum of 5 % of the cores is 0.18 of the queue's work.
-        assert self.share_served() > 0.18
+        assert self.share_served(160) > 0.18
+
+    def test_three_times_the_capacity(self):
+        """Guards against started urgent jobs that take all free capacity."""
+        assert self.share_served(240) > 0.06
 
 
 class TestUnevenEntries:
@@ -278,15 +283,15 @@
     ),
     'less urgent queues have a minimum': (
         _disable_minimum,
-        TestMinimum().test_lasting_urgent_load,
+        TestMinimum().test_twice_the_capacity,
     ),
     'jobs of queues below their minimum come first': (
         _keep_order,
-        TestMinimum().test_lasting_urgent_load,
+        TestMinimum().test_three_times_the_capacity,
     ),
     'refused orders do not count as starts': (
         _count_refused_orders,
-        TestMinimum().test_lasting_urgent_load,
+        TestMinimum().test_twice_the_capacity,
     ),
     'endpoint processes report the arrivals at other entries': (
         _report_no_others,
