Explain where an entry would place a job

Operators could not see why jobs wait or are refused while workers seem idle.

`azurepier explain` asks an entry, at GET /explain on the port of the metrics.

--- a/azurepier/cli/_main.py
+++ b/azurepier/cli/_main.py
@@ -4,6 +4,7 @@
 
 from azurepier.cli import _config
 from azurepier.cli import _experiment
+from azurepier.cli import _explain
 from azurepier.cli import _jobs
 from azurepier.cli import _processes
 from azurepier.cli import _report
@@ -25,6 +26,7 @@
 main.add_command(_jobs.jobs)
 main.add_command(_experiment.experiment)
 main.add_command(_report.report)
+main.add_command(_explain.explain)
 main.add_command(_processes.status)
 main.add_command(_processes.events)
 main.add_command(_processes.drain)
--- a/azurepier/cli/_web.py
+++ b/azurepier/cli/_web.py
@@ -49,10 +49,11 @@
 
 
 def _parse_entries(ctx, param, value):
-    return tuple(_base_url(url) for url in value)
+    return tuple(base_url(url) for url in value)
 
 
-def _base_url(text):
+def base_url(text):
+    """Return a URL with a scheme and without a slash at its end."""
     url = text if '://' in text else f'http://{text}'
     return url.rstrip('/')
 
@@ -265,7 +266,7 @@
     for key, role in (('entries', 'entry'), ('endpoints', 'endpoint')):
         for item in status.get(key, ()):
             if isinstance(item, dict) and item.get('web_address'):
-                url = _base_url(item['web_address'])
+                url = base_url(item['web_address'])
                 yield url, (role, item.get('name', url))
 
 
--- a/azurepier/cli/tests/test_cli.py
+++ b/azurepier/cli/tests/test_cli.py
@@ -289,3 +289,31 @@
         # an idle system.
         assert run('status')[0] == 6
         assert run('status', '--entry', 'http://127.0.0.1:1')[0] == 6
+
+
+class TestExplain:
+    ANSWER = {
+        'entry': 'e1',
+        'queue': 'r',
+        'priority': 1,
+        'tasks': 2,
+        'decision': 'wait',
+        'starts': {'w1': 1},
+        'waiting_tasks': 1,
+        'waits_for': 'room',
+        'endpoints': [
+            {'endpoint': 'w1', 'age_ms': 40, 'ruled_out_by': 'no_room'}
+        ],
+    }
+
+    def test_text_and_json(self, serve):
+        """Guards against an output without the rule and the age."""
+        url = serve(reply_by_route({('GET', '/explain'): (self.ANSWER,)}))
+        args = ('explain', 'r', '--metrics', url, '--tasks', 2, '--cpu', 6600)
+        code, text, _ = run(*args)
+        assert code == 0
+        assert 'wait for: room' in text
+        assert 'w1        -       40' in text
+        assert 'no_room' in text
+        code, text, _ = run(*args, '--json')
+        assert (code, json.loads(text)) == (0, self.ANSWER)
--- a/azurepier/dispatch/_pass.py
+++ b/azurepier/dispatch/_pass.py
@@ -89,6 +89,7 @@
                 _oldest_report_age_s(open_endpoints, now) * MS_PER_S
             ),
         }
+        fields.update(_priority.status(node, now))
         out.append(effects.Log('job_unservable', fields))
         out += _runs.finish_job(node, job, rejected, now)
     return out
--- a/azurepier/dispatch/_placement.py
+++ b/azurepier/dispatch/_placement.py
@@ -68,18 +68,27 @@
     )
 
 
-def find_candidates(endpoints, job):
-    """Return the endpoints on which the next task of a job may start now."""
+def find_rule_against(endpoint, job):
+    """Return why the next task can't start at an open endpoint, or None."""
     resources = job.request.resources
     limit = job.request.max_per_worker
-    avoided = job.waiting[-1].avoided_endpoints
+    if not fits(endpoint, resources):
+        return 'no_room'
+    if endpoint.name in job.waiting[-1].avoided_endpoints:
+        return 'avoided'
+    if resources.label and resources.label not in endpoint.labels:
+        return 'label'
+    if limit and endpoint.runs_per_job[job.request.id] >= limit:
+        return 'max_per_worker'
+    return None
+
+
+def find_candidates(endpoints, job):
+    """Return the endpoints on which the next task of a job may start now."""
     return [
         endpoint
         for endpoint in endpoints
-        if fits(endpoint, resources)
-        and endpoint.name not in avoided
-        and (not resources.label or resources.label in endpoint.labels)
-        and (not limit or endpoint.runs_per_job[job.request.id] < limit)
+        if find_rule_against(endpoint, job) is None
     ]
 
 
--- a/azurepier/dispatch/_priority.py
+++ b/azurepier/dispatch/_priority.py
@@ -253,7 +253,7 @@
 
 
 def status(node, now):
-    """Return gauges for the metrics; empty if the part is not in use."""
+    """Return what the metrics and the log show; empty if not in use."""
     if _part_in_use(node) is None:
         return {}
     recent = [
--- a/tests/adapter/test_programs.py
+++ b/tests/adapter/test_programs.py
@@ -434,3 +434,20 @@
                 status, text = await pool.call('GET', '/metrics')
                 assert status == 200
                 assert name in text.decode()
+            await self.check_explanation(fleet)
+
+    async def check_explanation(self, fleet):
+        """Guards against explanations on other ports or of unknown queues."""
+        query = '/explain?count=2&cpu=1000&queue='
+        pool = fleet.http_pool(2, 9464)
+        status, text = await pool.call('GET', f'{query}r')
+        result = json.loads(text)
+        assert status == 200, result
+        assert sum(result['starts'].values()) == 2
+        # The interval between explanations has not passed.
+        status, _ = await pool.call('GET', f'{query}r')
+        assert status == 429
+        status, _ = await pool.call('GET', f'{query}none')
+        assert status == 404
+        status, _ = await fleet.http_pool(4, 9464).call('GET', query)
+        assert status == 404
