--- a/azurepier/dispatch/_priority.py
+++ b/azurepier/dispatch/_priority.py
@@ -28,6 +28,8 @@
 # Time constant of the average of the work started for a queue (s). The
 # longest tasks in use take 2 s.
 STARTED_AVERAGE_S = 2.0
+# Work that a queue started longer ago has decayed, and is forgotten (s).
+FORGET_S = 10 * STARTED_AVERAGE_S
 # The need is computed again after this time (s). The averages and the reports
 # change more slowly, and a pass may follow each message.
 REFRESH_S = 0.05
@@ -103,6 +105,9 @@
     """
     if _part_in_use(node) is None:
         return {}
+    for key, started in list(node.started_work.items()):
+        if now - started.updated_at > FORGET_S:
+            del node.started_work[key]
     counts = collections.Counter(
         each.pool for each in node.by_conn.values() if each.accepting
     )
@@ -138,6 +143,7 @@
 
     They come before started jobs too: under lasting overload by wide jobs
     there are always some of these, which take all capacity that becomes free.
+    Jobs after their objective stay where they are.
 
     Parameters
     ----------
@@ -161,7 +167,11 @@
     }
     raised, others = [], []
     for job in ordered:
-        is_raised = not job.has_started and job.queue.name in below
+        is_raised = (
+            job.queue.name in below
+            and not job.has_started
+            and now < job.objective_at
+        )
         (raised if is_raised else others).append(job)
     return raised + others
 
@@ -228,7 +238,7 @@
         if each.others_arriving is not None
     ]
     unknown = sum(
-        each.entry_count - 1
+        max(each.entry_count - 1, 0)
         for each in endpoints
         if each.others_arriving is None
     )
--- a/azurepier/dispatch/tests/test_priority.py
+++ b/azurepier/dispatch/tests/test_priority.py
@@ -201,6 +201,24 @@
         submit_for(fleet, 3.0, [(URGENT, 20, 8, 0.1, ())])
         assert needed_cores(fleet, 'e1') == pytest.approx(40, rel=0.2)
 
+    def test_reports_without_entries(self):
+        """Guards against a division by zero by what another build sends."""
+        fleet = make_fleet()
+        for endpoint in fleet.entries['e1'].node.by_conn.values():
+            endpoint.others_arriving, endpoint.entry_count = None, 0
+        submit_for(fleet, 0.1, [(URGENT, 20, 8, 0.1, ('e1',))])
+        assert needed_cores(fleet, 'e1') > 0
+
+    def test_queues_that_are_gone(self):
+        """Guards against state that grows with each change of the queues."""
+        fleet = make_fleet()
+        for number in range(5):
+            queue = testing.queue(f'q{number}', priority=1)
+            submit_for(fleet, 0.2, [(queue, 20, 1, 0.1, ('e0',))])
+        assert len(fleet.entries['e0'].node.started_work) == 5
+        fleet.run_for(_priority.FORGET_S + 1.0)
+        assert not fleet.entries['e0'].node.started_work
+
 
 class TestOff:
     def test_nothing_is_sent(self):
