--- a/azurepier/dispatch/_links.py
+++ b/azurepier/dispatch/_links.py
@@ -1,12 +1,14 @@
 """Connections of an entry to endpoint processes."""
 
 from azurepier.dispatch import _arrival
+from azurepier.dispatch import _arriving
 from azurepier.dispatch import _bounds
 from azurepier.dispatch import _cancel
 from azurepier.dispatch import _cancel_checks
 from azurepier.dispatch import _demand
 from azurepier.dispatch import _evacuation
 from azurepier.dispatch import _peers
+from azurepier.dispatch import _priority
 from azurepier.dispatch import _runs
 from azurepier.dispatch import _state
 from azurepier.kernel import effects
@@ -206,6 +208,8 @@
     endpoint.failures = state.failures
     endpoint.others_demand = state.wanted
     endpoint.entry_count = state.entries
+    if state.arriving is not None:
+        endpoint.others_arriving = _arriving.decode(state.arriving)
     for run in endpoint.runs.values():
         if run.seq > state.seen:
             _runs.reserve(endpoint, run.resources)
@@ -230,6 +234,7 @@
 def _send_endpoint_heartbeats(node, now):
     demand = _demand.demand_per_endpoint(node)
     store_silent_ms = _evacuation.store_silent_ms(node, now)
+    arriving = _priority.own_arriving(node, now)
     out = []
     for endpoint in list(node.by_conn.values()):
         if is_silent(endpoint, now):
@@ -240,13 +245,17 @@
         interval_s = (
             _bounds.HEARTBEAT_S if endpoint.runs else _bounds.IDLE_HEARTBEAT_S
         )
-        if _bounds.is_due(now - endpoint.last_sent_at, interval_s):
+        update = _priority.due_update(endpoint, arriving, now)
+        if update or _bounds.is_due(now - endpoint.last_sent_at, interval_s):
             endpoint.last_sent_at = now
+            if update is not None:
+                endpoint.arriving_sent_at = now
             msg = messages.Beat(
                 config_version=_state.config_version(node),
                 demand=demand,
                 store_silent_ms=store_silent_ms,
                 reports_received=endpoint.reports_received,
+                arriving=_arriving.encode(update),
             )
             out.append(effects.Send(endpoint.conn, msg))
     return out
--- a/azurepier/dispatch/_pass.py
+++ b/azurepier/dispatch/_pass.py
@@ -7,7 +7,7 @@
 from azurepier.dispatch import _model
 from azurepier.dispatch import _order
 from azurepier.dispatch import _placement
-from azurepier.dispatch import _reserve
+from azurepier.dispatch import _priority
 from azurepier.dispatch import _runs
 from azurepier.dispatch import _supply
 from azurepier.kernel import effects
@@ -59,6 +59,7 @@
     ordered = _order.sort_jobs(
         jobs, supply.max_speed, now, supply_expected or arrival is not None
     )
+    ordered = _priority.sort_jobs(node, open_endpoints, ordered, now)
     for job in ordered:
         if arrival is not None and arrival.is_late(job):
             # These come after all others, below.
@@ -107,6 +108,7 @@
                 _oldest_report_age_s(open_endpoints, now) * MS_PER_S
             ),
         }
+        fields.update(_priority.status(node, now))
         out.append(effects.Log('job_unservable', fields))
         out += _runs.finish_job(node, job, rejected, now)
     return out
@@ -124,7 +126,7 @@
         task = job.waiting[-1]
         if task.not_before > now or task.name in node.run_count_by_task:
             return
-        if not allow_late and _reserve.is_deferred(
+        if not allow_late and _priority.is_deferred(
             node, open_endpoints, job, now
         ):
             return
@@ -135,6 +137,7 @@
         if endpoint is None:
             return
         _runs.start_run(node, endpoint, job, now)
+        _priority.record_start(node, job, now)
 
 
 def _reject_without_endpoint(node, pool, waiting, any_open, now):
--- a/azurepier/runner/_links.py
+++ b/azurepier/runner/_links.py
@@ -4,6 +4,7 @@
 from azurepier.kernel import effects
 from azurepier.kernel import messages
 from azurepier import membership
+from azurepier.runner import _arriving
 from azurepier.runner import _cancels
 from azurepier.runner import _capacity
 from azurepier.runner import _ends
@@ -152,6 +153,7 @@
 def on_heartbeat(node, link, msg, now):
     """Store demand and acknowledgement of an entry, and apply its updates."""
     link.demand = msg.demand
+    _arriving.on_heartbeat(link, msg)
     _reports.on_acknowledged(link, msg.reports_received)
     out = _evacuation.on_heartbeat(node, link, msg)
     return out + _cancels.on_heartbeat(node, link, msg, now)
--- a/azurepier/runner/_state.py
+++ b/azurepier/runner/_state.py
@@ -1,6 +1,7 @@
 """State of an endpoint process that places tasks by their resources."""
 
 import collections
+import math
 
 import attrs
 
@@ -104,6 +105,9 @@
         Time of the last report of the free capacity (s).
     demand : float
         Demand of the entry for this endpoint (cores).
+    arriving : list of Demand or None
+        Share of this endpoint in the jobs that arrive at the entry; None if
+        the entry doesn't send it.
     store_silent : bool
         Whether the entry has lost contact to the store.
     sends_evacuations : bool
@@ -135,6 +139,9 @@
     report_due: bool = False
     last_sent_at: float = 0.0
     demand: float = 0.0
+    arriving: list | None = None
+    # Time at which the arrivals at other entries were last sent to it (s).
+    arriving_sent_at: float = -math.inf
     store_silent: bool = False
     sends_evacuations: bool = False
     relays_cancels: bool = False
--- a/azurepier/wire/_codec.py
+++ b/azurepier/wire/_codec.py
@@ -70,7 +70,7 @@
     },
     ttypes.ConfigUpdate: {'offset', 'total', 'checksum'},
     ttypes.ConfigRequest: {'version', 'offset'},
-    ttypes.PoolState: {'forecast_cpu', 'waiting_orders'},
+    ttypes.PoolState: {'forecast_cpu', 'waiting_orders', 'arriving'},
     ttypes.RunOrder: {
         'suspicion',
         'label',
@@ -89,6 +89,7 @@
         'cancel_confirmations',
         'endpoints',
         'receiver_endpoints',
+        'arriving',
     },
 }
 
--- a/azurepier/wire/gen/messages/ttypes.py
+++ b/azurepier/wire/gen/messages/ttypes.py
@@ -2895,6 +2895,7 @@
      - entries
      - forecast_cpu
      - waiting_orders
+     - arriving
 
     """
 
@@ -2915,10 +2916,11 @@
         'entries',
         'forecast_cpu',
         'waiting_orders',
+        'arriving',
     )
 
 
-    def __init__(self, pool=None, labels=None, cpu=None, mem_mb=None, gpu=None, free_cpu=None, free_mem_mb=None, free_gpu=None, accepting=None, seen=None, speed=None, failures=None, wanted=None, entries=None, forecast_cpu=None, waiting_orders=None,):
+    def __init__(self, pool=None, labels=None, cpu=None, mem_mb=None, gpu=None, free_cpu=None, free_mem_mb=None, free_gpu=None, accepting=None, seen=None, speed=None, failures=None, wanted=None, entries=None, forecast_cpu=None, waiting_orders=None, arriving=None,):
         self.pool = pool
         self.labels = labels
         self.cpu = cpu
@@ -2935,6 +2937,7 @@
         self.entries = entries
         self.forecast_cpu = forecast_cpu
         self.waiting_orders = waiting_orders
+        self.arriving = arriving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3035,6 +3038,16 @@
                     self.waiting_orders = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.LIST:
+                    self.arriving = []
+                    (_etype78, _size75) = iprot.readListBegin()
+                    for _i79 in range(_size75):
+                        _elem80 = iprot.readI32()
+                        self.arriving.append(_elem80)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3052,8 +3065,8 @@
         if self.labels is not None:
             oprot.writeFieldBegin('labels', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.labels))
-            for iter75 in self.labels:
-                oprot.writeString(iter75.encode('utf-8') if sys.version_info[0] == 2 else iter75)
+            for iter81 in self.labels:
+                oprot.writeString(iter81.encode('utf-8') if sys.version_info[0] == 2 else iter81)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cpu is not None:
@@ -3107,14 +3120,21 @@
         if self.forecast_cpu is not None:
             oprot.writeFieldBegin('forecast_cpu', TType.LIST, 15)
             oprot.writeListBegin(TType.I32, len(self.forecast_cpu))
-            for iter76 in self.forecast_cpu:
-                oprot.writeI32(iter76)
+            for iter82 in self.forecast_cpu:
+                oprot.writeI32(iter82)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.waiting_orders is not None:
             oprot.writeFieldBegin('waiting_orders', TType.I32, 16)
             oprot.writeI32(self.waiting_orders)
             oprot.writeFieldEnd()
+        if self.arriving is not None:
+            oprot.writeFieldBegin('arriving', TType.LIST, 17)
+            oprot.writeListBegin(TType.I32, len(self.arriving))
+            for iter83 in self.arriving:
+                oprot.writeI32(iter83)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3382,21 +3402,21 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.orders = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = RunOrder()
-                        _elem82.read(iprot)
-                        self.orders.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = RunOrder()
+                        _elem89.read(iprot)
+                        self.orders.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.specs = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.specs.append(_elem88)
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.specs.append(_elem95)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3413,15 +3433,15 @@
         if self.orders is not None:
             oprot.writeFieldBegin('orders', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.orders))
-            for iter89 in self.orders:
-                iter89.write(oprot)
+            for iter96 in self.orders:
+                iter96.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.specs is not None:
             oprot.writeFieldBegin('specs', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.specs))
-            for iter90 in self.specs:
-                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
+            for iter97 in self.specs:
+                oprot.writeString(iter97.encode('utf-8') if sys.version_info[0] == 2 else iter97)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3476,10 +3496,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.seqs = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = iprot.readI64()
-                        self.seqs.append(_elem96)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = iprot.readI64()
+                        self.seqs.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3496,8 +3516,8 @@
         if self.seqs is not None:
             oprot.writeFieldBegin('seqs', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.seqs))
-            for iter97 in self.seqs:
-                oprot.writeI64(iter97)
+            for iter104 in self.seqs:
+                oprot.writeI64(iter104)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3659,11 +3679,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = RunEnd()
-                        _elem103.read(iprot)
-                        self.ends.append(_elem103)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = RunEnd()
+                        _elem110.read(iprot)
+                        self.ends.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3686,8 +3706,8 @@
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter104 in self.ends:
-                iter104.write(oprot)
+            for iter111 in self.ends:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.state is not None:
@@ -3757,21 +3777,21 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.running = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = iprot.readI64()
-                        self.running.append(_elem110)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = iprot.readI64()
+                        self.running.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype114, _size111) = iprot.readListBegin()
-                    for _i115 in range(_size111):
-                        _elem116 = RunEnd()
-                        _elem116.read(iprot)
-                        self.ends.append(_elem116)
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = RunEnd()
+                        _elem123.read(iprot)
+                        self.ends.append(_elem123)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3799,15 +3819,15 @@
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.running))
-            for iter117 in self.running:
-                oprot.writeI64(iter117)
+            for iter124 in self.running:
+                oprot.writeI64(iter124)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter118 in self.ends:
-                iter118.write(oprot)
+            for iter125 in self.ends:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.state is not None:
@@ -3969,10 +3989,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.job_ids = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.job_ids.append(_elem124)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.job_ids.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3997,8 +4017,8 @@
         if self.job_ids is not None:
             oprot.writeFieldBegin('job_ids', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.job_ids))
-            for iter125 in self.job_ids:
-                oprot.writeString(iter125.encode('utf-8') if sys.version_info[0] == 2 else iter125)
+            for iter132 in self.job_ids:
+                oprot.writeString(iter132.encode('utf-8') if sys.version_info[0] == 2 else iter132)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4075,20 +4095,20 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.confirmed = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.confirmed.append(_elem131)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.confirmed.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.stopped = []
-                    (_etype135, _size132) = iprot.readListBegin()
-                    for _i136 in range(_size132):
-                        _elem137 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.stopped.append(_elem137)
+                    (_etype142, _size139) = iprot.readListBegin()
+                    for _i143 in range(_size139):
+                        _elem144 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.stopped.append(_elem144)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4118,15 +4138,15 @@
         if self.confirmed is not None:
             oprot.writeFieldBegin('confirmed', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.confirmed))
-            for iter138 in self.confirmed:
-                oprot.writeString(iter138.encode('utf-8') if sys.version_info[0] == 2 else iter138)
+            for iter145 in self.confirmed:
+                oprot.writeString(iter145.encode('utf-8') if sys.version_info[0] == 2 else iter145)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stopped is not None:
             oprot.writeFieldBegin('stopped', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.stopped))
-            for iter139 in self.stopped:
-                oprot.writeString(iter139.encode('utf-8') if sys.version_info[0] == 2 else iter139)
+            for iter146 in self.stopped:
+                oprot.writeString(iter146.encode('utf-8') if sys.version_info[0] == 2 else iter146)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.has_older is not None:
@@ -4174,6 +4194,7 @@
      - cancel_confirmations
      - endpoints
      - receiver_endpoints
+     - arriving
 
     """
 
@@ -4189,10 +4210,11 @@
         'cancel_confirmations',
         'endpoints',
         'receiver_endpoints',
+        'arriving',
     )
 
 
-    def __init__(self, config_version=None, demand=None, evacuations_revision=None, evacuated=None, store_silent_ms=None, reports_received=None, canceled=None, cancel_checks=None, cancel_confirmations=None, endpoints=None, receiver_endpoints=None,):
+    def __init__(self, config_version=None, demand=None, evacuations_revision=None, evacuated=None, store_silent_ms=None, reports_received=None, canceled=None, cancel_checks=None, cancel_confirmations=None, endpoints=None, receiver_endpoints=None, arriving=None,):
         self.config_version = config_version
         self.demand = demand
         self.evacuations_revision = evacuations_revision
@@ -4204,6 +4226,7 @@
         self.cancel_confirmations = cancel_confirmations
         self.endpoints = endpoints
         self.receiver_endpoints = receiver_endpoints
+        self.arriving = arriving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4232,10 +4255,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.evacuated = []
-                    (_etype143, _size140) = iprot.readListBegin()
-                    for _i144 in range(_size140):
-                        _elem145 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.evacuated.append(_elem145)
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.evacuated.append(_elem152)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4252,33 +4275,33 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.canceled = []
-                    (_etype149, _size146) = iprot.readListBegin()
-                    for _i150 in range(_size146):
-                        _elem151 = CanceledJob()
-                        _elem151.read(iprot)
-                        self.canceled.append(_elem151)
+                    (_etype156, _size153) = iprot.readListBegin()
+                    for _i157 in range(_size153):
+                        _elem158 = CanceledJob()
+                        _elem158.read(iprot)
+                        self.canceled.append(_elem158)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.cancel_checks = []
-                    (_etype155, _size152) = iprot.readListBegin()
-                    for _i156 in range(_size152):
-                        _elem157 = CancelCheck()
-                        _elem157.read(iprot)
-                        self.cancel_checks.append(_elem157)
+                    (_etype162, _size159) = iprot.readListBegin()
+                    for _i163 in range(_size159):
+                        _elem164 = CancelCheck()
+                        _elem164.read(iprot)
+                        self.cancel_checks.append(_elem164)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.cancel_confirmations = []
-                    (_etype161, _size158) = iprot.readListBegin()
-                    for _i162 in range(_size158):
-                        _elem163 = CancelConfirmation()
-                        _elem163.read(iprot)
-                        self.cancel_confirmations.append(_elem163)
+                    (_etype168, _size165) = iprot.readListBegin()
+                    for _i169 in range(_size165):
+                        _elem170 = CancelConfirmation()
+                        _elem170.read(iprot)
+                        self.cancel_confirmations.append(_elem170)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4292,6 +4315,16 @@
                     self.receiver_endpoints = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.arriving = []
+                    (_etype174, _size171) = iprot.readListBegin()
+                    for _i175 in range(_size171):
+                        _elem176 = iprot.readI32()
+                        self.arriving.append(_elem176)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4317,8 +4350,8 @@
         if self.evacuated is not None:
             oprot.writeFieldBegin('evacuated', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.evacuated))
-            for iter164 in self.evacuated:
-                oprot.writeString(iter164.encode('utf-8') if sys.version_info[0] == 2 else iter164)
+            for iter177 in self.evacuated:
+                oprot.writeString(iter177.encode('utf-8') if sys.version_info[0] == 2 else iter177)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.store_silent_ms is not None:
@@ -4332,22 +4365,22 @@
         if self.canceled is not None:
             oprot.writeFieldBegin('canceled', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.canceled))
-            for iter165 in self.canceled:
-                iter165.write(oprot)
+            for iter178 in self.canceled:
+                iter178.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cancel_checks is not None:
             oprot.writeFieldBegin('cancel_checks', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.cancel_checks))
-            for iter166 in self.cancel_checks:
-                iter166.write(oprot)
+            for iter179 in self.cancel_checks:
+                iter179.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cancel_confirmations is not None:
             oprot.writeFieldBegin('cancel_confirmations', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.cancel_confirmations))
-            for iter167 in self.cancel_confirmations:
-                iter167.write(oprot)
+            for iter180 in self.cancel_confirmations:
+                iter180.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.endpoints is not None:
@@ -4358,6 +4391,13 @@
             oprot.writeFieldBegin('receiver_endpoints', TType.I32, 12)
             oprot.writeI32(self.receiver_endpoints)
             oprot.writeFieldEnd()
+        if self.arriving is not None:
+            oprot.writeFieldBegin('arriving', TType.LIST, 13)
+            oprot.writeListBegin(TType.I32, len(self.arriving))
+            for iter181 in self.arriving:
+                oprot.writeI32(iter181)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4504,11 +4544,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype171, _size168) = iprot.readListBegin()
-                    for _i172 in range(_size168):
-                        _elem173 = KnownEntry()
-                        _elem173.read(iprot)
-                        self.entries.append(_elem173)
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = KnownEntry()
+                        _elem187.read(iprot)
+                        self.entries.append(_elem187)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4525,8 +4565,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter174 in self.entries:
-                iter174.write(oprot)
+            for iter188 in self.entries:
+                iter188.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4690,11 +4730,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.steps = []
-                    (_etype178, _size175) = iprot.readListBegin()
-                    for _i179 in range(_size175):
-                        _elem180 = RunStep()
-                        _elem180.read(iprot)
-                        self.steps.append(_elem180)
+                    (_etype192, _size189) = iprot.readListBegin()
+                    for _i193 in range(_size189):
+                        _elem194 = RunStep()
+                        _elem194.read(iprot)
+                        self.steps.append(_elem194)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4717,8 +4757,8 @@
         if self.steps is not None:
             oprot.writeFieldBegin('steps', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.steps))
-            for iter181 in self.steps:
-                iter181.write(oprot)
+            for iter195 in self.steps:
+                iter195.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.state is not None:
@@ -4982,6 +5022,7 @@
     (14, TType.I32, 'entries', None, None, ),  # 14
     (15, TType.LIST, 'forecast_cpu', (TType.I32, None, False), None, ),  # 15
     (16, TType.I32, 'waiting_orders', None, None, ),  # 16
+    (17, TType.LIST, 'arriving', (TType.I32, None, False), None, ),  # 17
 )
 all_structs.append(RunOrder)
 RunOrder.thrift_spec = (
@@ -5070,6 +5111,7 @@
     (10, TType.LIST, 'cancel_confirmations', (TType.STRUCT, [CancelConfirmation, None], False), None, ),  # 10
     (11, TType.I32, 'endpoints', None, None, ),  # 11
     (12, TType.I32, 'receiver_endpoints', None, None, ),  # 12
+    (13, TType.LIST, 'arriving', (TType.I32, None, False), None, ),  # 13
 )
 all_structs.append(KnownEntry)
 KnownEntry.thrift_spec = (
--- a/thrift/azurepier.thrift
+++ b/thrift/azurepier.thrift
@@ -236,6 +236,11 @@
   // started, and number of orders that wait.
   15: list<i32> forecast_cpu
   16: i32 waiting_orders
+  // Jobs that arrive at the other entries; set twice a second while an entry
+  // sends its own. Older versions don't send it. Three numbers for each
+  // priority, the most urgent first: the priority, the CPU that the tasks take
+  // (thousandths of a core a second) and the mean need of a job (thousandths).
+  17: list<i32> arriving
 }
 
 struct RunOrder {
@@ -328,6 +333,10 @@
   // before it started, as far as the sender knows.
   11: i32 endpoints
   12: i32 receiver_endpoints
+  // To an endpoint, set where capacity is kept for urgent jobs: the share of
+  // the receiver in the entry's own arrivals, as in PoolState. Older versions
+  // ignore it.
+  13: list<i32> arriving
 }
 
 struct KnownEntry {
