Let an experiment use the optional parts of the dispatch

The simulated fleet had no way to switch a part on, so that a part could only be compared by changes of the code. The table `policy` of an experiment has the tables of a deployment's file and reaches `Options.policy` of both nodes.

Measured: the tests of the file pass (azurepier/experiment, TestLoad).

--- a/azurepier/dispatch/_policy.py
+++ b/azurepier/dispatch/_policy.py
@@ -132,7 +132,20 @@
         raw = tomllib.loads(text)
     except tomllib.TOMLDecodeError as exc:
         raise SettingsError(f'not valid TOML: {exc}') from exc
-    return Policy(**{name: _decode_part(name, raw[name]) for name in raw})
+    return from_tables(raw)
+
+
+def from_tables(tables):
+    """Return the `Policy` in decoded tables, by the name of the part.
+
+    Raises
+    ------
+    SettingsError
+        As for `decode_policy`.
+    """
+    return Policy(
+        **{name: _decode_part(name, table) for name, table in tables.items()}
+    )
 
 
 def _decode_part(name, table):
--- a/azurepier/experiment/_simulation.py
+++ b/azurepier/experiment/_simulation.py
@@ -87,6 +87,7 @@
         domains=spec.domains,
         delay_s=spec.delay_ms / 1000,
         uneven=experiment.uneven,
+        policy=experiment.policy,
     )
     fleet.driver.log_effects = None
     return fleet
--- a/azurepier/experiment/_spec.py
+++ b/azurepier/experiment/_spec.py
@@ -6,7 +6,9 @@
 
 import attrs
 
+from azurepier import dispatch
 from azurepier.kernel import InvalidInputError
+from azurepier.kernel import SettingsError
 
 
 def _check_positive(instance, attribute, value):
@@ -161,6 +163,9 @@
     arrivals : tuple of dict
         Recorded jobs that replace the random ones, with the keys of
         `ARRIVAL_COLUMNS`. The TOML file names a CSV file that holds them.
+    policy : azurepier.dispatch.Policy
+        Optional parts of the dispatch in use, from the table `policy` with the
+        tables of a deployment's file.
     policies : tuple of str
         Names in `azurepier.experiment._policies.POLICIES`. The others are
         compared with the first.
@@ -178,6 +183,7 @@
     uneven: float = attrs.field(default=0.15, validator=_check_fraction)
     seeds: int = attrs.field(default=6, validator=_check_positive)
     arrivals: tuple = ()
+    policy: object = dispatch.Policy()
     policies: tuple = attrs.field(default=('azurepier',), converter=tuple)
 
 
@@ -249,6 +255,17 @@
     return tuple(arrivals)
 
 
+def _read_policy(raw):
+    if not isinstance(raw, dict):
+        raise InvalidInputError(
+            'policy', f'expected a table of tables, not {raw!r}'
+        )
+    try:
+        return dispatch.policy.from_tables(raw)
+    except SettingsError as exc:
+        raise InvalidInputError('policy', str(exc)) from exc
+
+
 def load(text, policies, faults, folder='.'):
     """Return the experiment that a TOML text describes.
 
@@ -292,6 +309,8 @@
     if 'arrivals' in raw:
         path = pathlib.Path(folder) / str(raw['arrivals'])
         raw['arrivals'] = _read_arrivals(path, raw['kinds'])
+    if 'policy' in raw:
+        raw['policy'] = _read_policy(raw['policy'])
     raw['fleet'] = _from_table(Fleet, raw.get('fleet', {}), 'fleet')
     experiment = _from_table(Experiment, raw, 'experiment')
     for name in experiment.policies:
--- a/azurepier/experiment/tests/test_experiment.py
+++ b/azurepier/experiment/tests/test_experiment.py
@@ -11,6 +11,7 @@
 from azurepier import experiment as experiments
 from azurepier.experiment import _arrivals
 from azurepier.experiment import _measure
+from azurepier.experiment import _simulation
 from azurepier.kernel import InvalidInputError
 
 STATUSES = ('in time', 'late', 'refused')
@@ -62,6 +63,18 @@
             load(SPEC.replace(old, new, 1))
         assert str(caught.value).startswith(field)
 
+    def test_parts_of_the_dispatch(self):
+        """Guards against a fleet without the parts that the file names."""
+        spec = load(f'{SPEC}[policy.waiting_orders]\nmax_wait_ms = 7')
+        assert spec.policy.waiting_orders.max_wait_ms == 7
+        fleet = _simulation._make_fleet(spec, 1)
+        processes = [*fleet.entries.values(), *fleet.endpoints.values()]
+        assert {each.node.options.policy for each in processes} == {
+            spec.policy
+        }
+        with pytest.raises(InvalidInputError, match='waiting_orders.wait'):
+            load(f'{SPEC}[policy.waiting_orders]\nwait = 7')
+
     def test_unknown_fault(self):
         """Guards against faults that are ignored because of a wrong name."""
         text = SPEC + '[[faults]]\nwhat = "flood"\nat_s = 1.0\n'
--- a/azurepier/testing/_pool.py
+++ b/azurepier/testing/_pool.py
@@ -96,6 +96,8 @@
     unread_leaves : list of (Process, int)
         Entry and request of each caller whose disconnection the entry has not
         read yet.
+    policy : azurepier.dispatch.Policy
+        Optional parts that processes started from now on use.
     """
 
     driver: _driver.Driver
@@ -116,6 +118,7 @@
     uneven: float = 0.0
     domains: int = 1
     unread_leaves: list = attrs.field(factory=list)
+    policy: object = dispatch.Policy()
 
     def run_for(self, seconds):
         """Run the simulation for some time (s)."""
@@ -134,6 +137,7 @@
             address=f'{name}:1',
             seeds=tuple(f'e{index}:1' for index in range(3)),
             bounds=Bounds(),
+            policy=self.policy,
         )
         rng = random.Random(f'{name}-{self.incarnation_count}')
         node = dispatch.create(options, rng, self.driver.now)
@@ -178,6 +182,7 @@
             seeds=tuple(f'e{index}:1' for index in range(3)),
             generation=self.incarnation_count,
             grace_s=GRACE_S,
+            policy=self.policy,
         )
         rng = random.Random(f'{name}-{self.incarnation_count}')
         node = runner.create(options, rng, self.driver.now)
@@ -355,6 +360,7 @@
     domains=1,
     delay_s=LOCAL_DELAY_S,
     uneven=0.0,
+    policy=None,
 ):
     """Return a fleet that has been running for two seconds.
 
@@ -369,12 +375,20 @@
         One-way delay of messages between processes (s).
     uneven : float
         Largest relative deviation of a task from the mean of its job.
+    policy : azurepier.dispatch.Policy, optional
+        Optional parts in use; none by default.
     """
     driver = _driver.Driver(
         seed, lambda a, b: LOCAL_DELAY_S if a is b else delay_s
     )
     cpus = [cpu] * len(speeds) if isinstance(cpu, int) else cpu
-    fleet = PoolFleet(driver, _ledger.Ledger(), domains=domains, uneven=uneven)
+    fleet = PoolFleet(
+        driver,
+        _ledger.Ledger(),
+        domains=domains,
+        uneven=uneven,
+        policy=policy or dispatch.Policy(),
+    )
     driver.on_answer = fleet.on_answer
     driver.log_effects = []
     driver.effect_handlers[runner.StartRun] = lambda _, process, effect: (
