Let orders wait at an endpoint process

An entry learns late that capacity has become free, so that orders are refused while runs end. An order with `wait_ms` is kept, if the part `waiting_orders` is on, and started as runs end, in the sequence in which the waits end, with reserved capacity and backfilling. Each cause that ends a wait without a start reports the order as refused. `PoolState` carries the forecast. No entry sends `wait_ms` yet.

--- a/azurepier/runner/_capacity.py
+++ b/azurepier/runner/_capacity.py
@@ -58,6 +58,13 @@
     node.failed_at = now
 
 
+def is_offered(node, link, now):
+    """Return whether the free capacity is offered to an entry."""
+    return _suspects.has_room_for_others(node, now) and not _trial.must_refuse(
+        node, link, now
+    )
+
+
 def pool_state(node, link, now):
     """Return the message that reports the worker's state to an entry."""
     worker = node.worker
@@ -65,9 +72,7 @@
         (worker.cpu, worker.mem_mb, worker.gpu) if worker else (0, 0, 0)
     )
     # A worker that is kept free for a suspect task still counts as supply.
-    offered = _suspects.has_room_for_others(
-        node, now
-    ) and not _trial.must_refuse(node, link, now)
+    offered = is_offered(node, link, now)
     others_demand = sum(
         other.demand for other in node.by_conn.values() if other is not link
     )
--- a/azurepier/runner/_crashes.py
+++ b/azurepier/runner/_crashes.py
@@ -18,6 +18,7 @@
 from azurepier.kernel import Status
 from azurepier.runner import _ends
 from azurepier.runner import _runs
+from azurepier.runner import _waiting
 
 # Maximum time for which a worker that has fallen silent may still carry out a
 # start, if it returns under its id (s).
@@ -98,6 +99,7 @@
         Task and number of the runs that the worker has not lost.
     """
     node.orphaned_runs.clear()
+    out = _waiting.drop_all(node, reason, now)
     if reason != 'lease_over':
         _note_crash(node)
     runs = [
@@ -105,7 +107,7 @@
         for run in node.runs.values()
         if (run.order.task, run.number) not in kept_runs
     ]
-    out = _record_losses(
+    out += _record_losses(
         node, [run for run in runs if run.loss is None], reason, now
     )
     may_begin = _MAY_BEGIN[reason]
--- a/azurepier/runner/_links.py
+++ b/azurepier/runner/_links.py
@@ -4,12 +4,12 @@
 from azurepier.kernel import effects
 from azurepier.kernel import messages
 from azurepier import membership
-from azurepier.runner import _capacity
 from azurepier.runner import _ends
 from azurepier.runner import _evacuation
 from azurepier.runner import _reports
 from azurepier.runner import _state
 from azurepier.runner import _stops
+from azurepier.runner import _waiting
 
 # Entry addresses are read from the store after this time without a connection
 # to an entry (s).
@@ -40,6 +40,7 @@
     elif link.conn is not None:
         out.append(effects.Abort(link.conn))
         del node.by_conn[link.conn]
+        out += _waiting.drop(node, link, 'reconnected', now)
     node.timers.cancel(('forget', hello.incarnation))
     link.conn = event.conn
     link.last_received_at = now
@@ -53,7 +54,7 @@
     known = messages.RunsKnown(
         running=list(link.runs),
         ends=_reports.all_ends(link),
-        state=_capacity.pool_state(node, link, now),
+        state=_waiting.make_report(node, link, now),
         session=node.session_count,
     )
     fields = {
@@ -70,17 +71,24 @@
 
 
 def _stop_former_runs(node, link, now):
-    """Stop the runs of earlier incarnations of an entry."""
+    """Stop the runs of earlier incarnations of an entry.
+
+    Their waiting orders end at once.
+    """
     out = []
     for other in node.links.values():
         if other.name == link.name and other is not link:
+            out += _waiting.drop(node, other, 'entry_restarted', now)
             for run in list(other.runs.values()):
                 out += _stops.stop_run(node, run, 'entry_restarted', now)
     return out
 
 
 def on_disconnected(node, event, now):
-    """Keep the runs of a disconnected entry until the reconnect timeout."""
+    """Keep the runs of a disconnected entry until the reconnect timeout.
+
+    Its waiting orders end at once.
+    """
     link = node.by_conn.get(event.conn)
     if link is None:
         return []
@@ -103,7 +111,8 @@
         'runs': len(link.runs),
         'age_ms': round((now - link.last_received_at) * _ends.MS_PER_S),
     }
-    return [effects.Log('entry_disconnected', fields)]
+    out = [effects.Log('entry_disconnected', fields)]
+    return out + _waiting.drop(node, link, 'disconnected', now)
 
 
 def on_reconnect_timeout(node, incarnation, now):
@@ -173,11 +182,12 @@
 
 def on_heartbeat_timer(node, _, now):
     """Send due heartbeats and abort silent connections."""
-    interval_s = bounds.HEARTBEAT_S if node.runs else bounds.IDLE_TICK_S
+    is_busy = node.runs or node.waiting
+    interval_s = bounds.HEARTBEAT_S if is_busy else bounds.IDLE_TICK_S
     node.timers.set('heartbeat', now + interval_s)
     out = []
     for link in list(node.by_conn.values()):
-        limit_s = bounds.SILENCE_S if link.runs else bounds.IDLE_SILENCE_S
+        limit_s = bounds.SILENCE_S if link.is_busy else bounds.IDLE_SILENCE_S
         if now - link.last_received_at > limit_s:
             out.append(effects.Abort(link.conn))
             out += _mark_disconnected(node, link, 'silent', now)
--- a/azurepier/runner/_node.py
+++ b/azurepier/runner/_node.py
@@ -23,6 +23,7 @@
 from azurepier.runner import _stops
 from azurepier.runner import _suspects
 from azurepier.runner import _trial
+from azurepier.runner import _waiting
 
 # Runs that are still open this long before the process is killed are stopped,
 # so that their entries can start them elsewhere (s).
@@ -56,10 +57,13 @@
         out += _orders.make_starts_unsure(node, now)
     node.last_event_at = now
     out += _EVENTS[type(event)](node, event, now)
+    if node.changed:
+        out += _trial.update_suspicion(node, now)
+    if node.waiting:
+        out += _orders.advance_waiting(node, now)
     if node.changed:
         # All changes of one iteration of the event loop share one report.
         node.changed = False
-        out += _trial.update_suspicion(node, now)
         node.timers.set('changed', now)
     return out
 
@@ -92,6 +96,7 @@
         'role': 'endpoint',
         'runs': len(node.runs),
         'used_cpu': node.used_cpu,
+        'waiting_orders': len(node.waiting),
         'entries': len(node.by_conn),
         'accepting': int(_capacity.accepts(node, now)),
         'evacuated': int(_evacuation.is_evacuated(node)),
@@ -189,6 +194,7 @@
     'evacuations': _evacuation.on_check_timer,
     'trial': _trial.on_trial_timer,
     'alone': _suspects.on_alone_timer,
+    'waiting': _waiting.on_timer,
     'drain_check': _on_drain_check,
     'drain_end': _on_drain_end,
 }
--- a/azurepier/runner/_orders.py
+++ b/azurepier/runner/_orders.py
@@ -25,6 +25,7 @@
 from azurepier.runner import _runs
 from azurepier.runner import _suspects
 from azurepier.runner import _trial
+from azurepier.runner import _waiting
 
 # Maximum number of retries of a start with a higher run number, if the worker
 # has already seen the number.
@@ -40,6 +41,8 @@
 REMEMBERED_NUMBERS_MAX = 4096
 # Time without new runs after a worker answered that it is unhealthy (s).
 UNHEALTHY_PAUSE_S = 0.5
+# Reason of the refusal of an order for which the free capacity isn't enough.
+NO_ROOM = 'no_room'
 _FAILED_CALLS = frozenset(
     {
         _model.StartResult.NOT_SENT,
@@ -60,6 +63,12 @@
     for order in msg.orders:
         link.highest_seq = max(link.highest_seq, order.seq)
         reason = _refusal_reason(node, link, order, now)
+        if reason == NO_ROOM and _waiting.may_wait(node, order):
+            reason = _suitability_reason(node, link, order, now)
+            if reason is None:
+                spec = msg.specs[order.spec]
+                _waiting.add(node, link, order, spec, now)
+                continue
         if reason is not None:
             end = _ends.end_message(order, Status.REFUSED, 0, reason)
             link.unreported_ends.append(end)
@@ -75,18 +84,77 @@
         return 'evacuated'
     if not _capacity.accepts(node, now) or link.close_at is not None:
         return 'not_accepting'
-    if order.task in node.runs:
+    if order.task in node.runs or order.task in node.waiting:
         return 'already_there'
     unmet = _requirements.find_unmet(node, order)
     if unmet is not None:
         return unmet
-    if not _capacity.fits(node, order):
-        return 'no_room'
+    if not _waiting.has_capacity(node, order, now):
+        return NO_ROOM
+    return _suitability_reason(node, link, order, now)
+
+
+def _suitability_reason(node, link, order, now):
     if _trial.must_refuse(node, link, now):
         return 'on_trial'
     return _suspects.refusal_reason(node, link, order, now)
 
 
+def advance_waiting(node, now):
+    """Start the waiting orders that may start, refuse those that can't.
+
+    Called after each event, since what rules an order out may change with any
+    of them.
+    """
+    out = []
+    if node.refuses_connections:
+        out += _requests.mark_unreachable(node, 'refused', now)
+    for entry in _waiting.sequence(node):
+        reason = _waiting_refusal_reason(node, entry, now)
+        if reason is not None:
+            _waiting.refuse(node, entry, reason, now)
+    if not node.changed or not node.waiting:
+        return out
+    plan, _ = _waiting.make_plan(node, now)
+    for entry, start in plan:
+        if entry.expected_at is None and start is not None:
+            entry.expected_at = now + start
+        if start == 0 and _capacity.fits(node, entry.order):
+            out += _start_waiting(node, entry, now)
+        elif _waiting.is_hopeless(entry, start, now):
+            _waiting.refuse(node, entry, NO_ROOM, now)
+    return out
+
+
+def _waiting_refusal_reason(node, entry, now):
+    """Return why a waiting order must not wait any longer, or None."""
+    order, link = entry.order, entry.link
+    if _evacuation.is_evacuated(node):
+        return 'evacuated'
+    if not _capacity.accepts(node, now) or link.close_at is not None:
+        return 'not_accepting'
+    unmet = _requirements.find_unmet(node, order)
+    if unmet is not None:
+        return unmet
+    if now >= entry.ends_at:
+        return NO_ROOM
+    return _suitability_reason(node, link, order, now)
+
+
+def _start_waiting(node, entry, now):
+    order, link = entry.order, entry.link
+    if not _waiting.is_heard(link, now):
+        return []
+    # The start of another order may rule this one out.
+    reason = _waiting_refusal_reason(node, entry, now)
+    if reason is not None:
+        _waiting.refuse(node, entry, reason, now)
+        return []
+    _waiting.remove(node, entry)
+    _waiting.record_start(node, entry, now)
+    return _start(node, link, order, entry.spec, now)
+
+
 def _start(node, link, order, spec, now):
     number = max(order.attempt, node.last_run_numbers.get(order.task, 0) + 1)
     _remember_number(node, order.task, number)
--- a/azurepier/runner/_progress.py
+++ b/azurepier/runner/_progress.py
@@ -158,6 +158,16 @@
     return average
 
 
+def listed_remaining_s(run):
+    """Return the expected remaining time of a run when last listed (s)."""
+    progress = run.progress
+    percent, at = progress.previous_sample
+    if not at or progress.percent <= percent:
+        percent, at = 0, run.requested_at
+    rate = (progress.percent - percent) / max(progress.listed_at - at, 0.001)
+    return (100 - progress.percent) / max(rate, 0.001)
+
+
 def progress_steps(link, now):
     """Return the progress of an entry's runs as messages."""
     return [
@@ -171,13 +181,7 @@
     progress = run.progress
     remaining_ms = -1
     if not progress.stalled:
-        percent, at = progress.previous_sample
-        if not at or progress.percent <= percent:
-            percent, at = 0, run.requested_at
-        rate = (progress.percent - percent) / max(
-            progress.listed_at - at, 0.001
-        )
-        remaining_s = (100 - progress.percent) / max(rate, 0.001)
+        remaining_s = listed_remaining_s(run)
         remaining_ms = min(round(remaining_s * MS_PER_S), 2**31 - 1)
     return messages.RunStep(
         seq=run.order.seq,
--- a/azurepier/runner/_reports.py
+++ b/azurepier/runner/_reports.py
@@ -13,8 +13,8 @@
 from azurepier.dispatch import bounds
 from azurepier.kernel import effects
 from azurepier.kernel import messages
-from azurepier.runner import _capacity
 from azurepier.runner import _progress
+from azurepier.runner import _waiting
 
 # Up to this number of entries, each change is reported immediately: the few
 # messages cost little and a delay would cause refused orders.
@@ -23,6 +23,9 @@
 # more entries (s). An entry with runs gets the free capacity together with
 # their progress.
 REPORT_INTERVAL_S = 0.25
+# Minimum interval between reports of an endpoint process where orders may wait
+# (s).
+FORECAST_INTERVAL_S = 0.05
 # Interval of reports while there are orphaned runs, which rule out new ones
 # (s). A stop takes up to 50 ms.
 ORPHANED_RUNS_CHECK_S = 0.02
@@ -108,10 +111,13 @@
     """Report changes to the entries whose report interval has passed."""
     immediate = len(node.by_conn) <= IMMEDIATE_REPORT_ENTRIES_MAX
     interval_s = 0.0 if immediate else REPORT_INTERVAL_S
+    if not immediate and _waiting.is_in_use(node):
+        # Entries decide by the forecasts of all endpoint processes.
+        immediate, interval_s = True, FORECAST_INTERVAL_S
     out = []
     waiting = []
     for link in node.by_conn.values():
-        if not link.report_due or (link.runs and not immediate):
+        if not link.report_due or (link.is_busy and not immediate):
             continue
         if link.last_sent_at + interval_s <= now:
             out.append(effects.Send(link.conn, _make_report(node, link, now)))
@@ -125,7 +131,7 @@
 def _make_report(node, link, now):
     """Return the state of the worker for an entry and record it as sent."""
     link.report_due, link.last_sent_at = False, now
-    return _capacity.pool_state(node, link, now)
+    return _waiting.make_report(node, link, now)
 
 
 def heartbeat_messages(node, link, now):
@@ -135,7 +141,9 @@
         state = _make_report(node, link, now)
         msg = messages.RunProgress(steps=steps, state=state)
         return [effects.Send(link.conn, msg)]
-    interval_s = bounds.HEARTBEAT_S if link.runs else bounds.IDLE_HEARTBEAT_S
+    interval_s = (
+        bounds.HEARTBEAT_S if link.is_busy else bounds.IDLE_HEARTBEAT_S
+    )
     if not bounds.is_due(now - link.last_sent_at, interval_s):
         return []
     return [effects.Send(link.conn, _make_report(node, link, now))]
--- a/azurepier/runner/_state.py
+++ b/azurepier/runner/_state.py
@@ -113,6 +113,8 @@
         Earliest time at which a surplus connection is closed (s).
     runs : dict of int to Run
         By the sequence number of the order.
+    waiting : dict of int to WaitingOrder
+        By the sequence number of the order.
     reports_sent : int
         Number of reports with ends sent on the connection.
     acknowledges : bool
@@ -137,11 +139,17 @@
     sends_evacuations: bool = False
     close_at: float | None = None
     runs: dict = attrs.field(factory=dict)
+    waiting: dict = attrs.field(factory=dict)
     reports_sent: int = 0
     acknowledges: bool = False
     reported_ends: collections.deque = attrs.field(factory=collections.deque)
     unreported_ends: list = attrs.field(factory=list)
 
+    @property
+    def is_busy(self):
+        """Whether runs or orders are lost if the connection is silent."""
+        return bool(self.runs or self.waiting)
+
 
 @attrs.define(eq=False, repr=False)
 class Endpoint:
@@ -182,6 +190,10 @@
         Index of the last end that was processed.
     runs : dict of str to Run
         By task.
+    waiting : dict of str to WaitingOrder
+        Orders that wait for enough free capacity, by task.
+    forecast : tuple or None
+        State for which the forecast was last computed, and its result.
     orphaned_runs : dict of str to int
         Run numbers, by task, of runs that no entry ordered.
     last_run_numbers : OrderedDict of str to int
@@ -240,6 +252,8 @@
     last_list_requested_at: float = 0.0
     acked: int = 0
     runs: dict = attrs.field(factory=dict)
+    waiting: dict = attrs.field(factory=dict)
+    forecast: tuple | None = None
     orphaned_runs: dict = attrs.field(factory=dict)
     last_run_numbers: collections.OrderedDict = attrs.field(
         factory=collections.OrderedDict
--- a/azurepier/runner/_stops.py
+++ b/azurepier/runner/_stops.py
@@ -6,6 +6,7 @@
 from azurepier.runner import _model
 from azurepier.runner import _requests
 from azurepier.runner import _runs
+from azurepier.runner import _waiting
 
 # Delay before an unconfirmed stop request is repeated (s), and the shorter one
 # if the lease would end the run otherwise, with all others. A worker on the
@@ -16,9 +17,15 @@
 
 
 def on_stops(node, link, msg, now):
-    """Stop the runs that an entry has asked to stop."""
+    """Stop the runs that an entry has asked to stop.
+
+    An order that waits ends without a start.
+    """
     out = []
     for seq in msg.seqs:
+        waiting = link.waiting.get(seq)
+        if waiting is not None:
+            _waiting.refuse(node, waiting, 'asked', now)
         run = link.runs.get(seq)
         if run is not None:
             out += stop_run(node, run, 'asked', now)
