Order the rest of a begun job by the forecasts of endpoint processes

A job that has begun waits for capacity for its other tasks until the next report, up to 0.25 s late, and competes for it with the orders of other entries. With `waiting_orders` on, each order may wait 80 ms beyond its expected start, and the other tasks of a begun job go where the forecasts let them end first, within 100 ms. Endpoint processes report every 50 ms at most.

Tests: test_waiting_orders, test_mechanisms, test_invariants (part on and off) and azurepier/wire pass; safe to use, off by default.

--- a/azurepier/dispatch/_links.py
+++ b/azurepier/dispatch/_links.py
@@ -3,6 +3,7 @@
 from azurepier.dispatch import _bounds
 from azurepier.dispatch import _demand
 from azurepier.dispatch import _evacuation
+from azurepier.dispatch import _lookahead
 from azurepier.dispatch import _peers
 from azurepier.dispatch import _runs
 from azurepier.dispatch import _state
@@ -99,7 +100,7 @@
             out = mark_disconnected(node, endpoint, 'outdated', now)
             return [*out, effects.Abort(conn)]
         endpoint.latest_session = msg.session
-    update_state(endpoint, msg.state)
+    update_state(endpoint, msg.state, now)
     endpoint.runs_expire_at = None
     node.timers.cancel(('runs_expired', endpoint.incarnation))
     out = _log_reconciliation(endpoint, msg)
@@ -155,7 +156,7 @@
 
 def on_pool_state(node, endpoint, msg, now):
     """Apply the state that an endpoint reports."""
-    update_state(endpoint, msg)
+    update_state(endpoint, msg, now)
     node.dirty = node.dirty or any(job.waiting for job in node.jobs.values())
     return []
 
@@ -165,7 +166,7 @@
     out = []
     for end in msg.ends:
         out += on_run_end(node, endpoint, end, now)
-    update_state(endpoint, msg.state)
+    update_state(endpoint, msg.state, now)
     endpoint.reports_received += 1
     node.dirty = True
     return out
@@ -181,7 +182,7 @@
     )
 
 
-def update_state(endpoint, state):
+def update_state(endpoint, state, now):
     """Apply a state report and reserve capacity for newer orders."""
     endpoint.pool = state.pool
     endpoint.labels = frozenset(state.labels)
@@ -195,9 +196,11 @@
     endpoint.failures = state.failures
     endpoint.others_demand = state.wanted
     endpoint.entry_count = state.entries
+    endpoint.waiting_orders = state.waiting_orders or 0
+    _lookahead.update(endpoint, state, now)
     for run in endpoint.runs.values():
         if run.seq > state.seen:
-            _runs.reserve(endpoint, run.resources)
+            _runs.reserve(endpoint, run)
 
 
 def on_heartbeat(node, endpoint, msg, now):
--- a/azurepier/dispatch/_pass.py
+++ b/azurepier/dispatch/_pass.py
@@ -3,6 +3,7 @@
 from azurepier.dispatch import _bounds
 from azurepier.dispatch import _crashes
 from azurepier.dispatch import _evacuation
+from azurepier.dispatch import _lookahead
 from azurepier.dispatch import _model
 from azurepier.dispatch import _order
 from azurepier.dispatch import _placement
@@ -113,9 +114,17 @@
         if _crashes.suspicion(node, task.name):
             endpoints = _crashes.choose_apart(node, open_endpoints, job)
         endpoint = _placement.choose(endpoints, job, now, node.rng, allow_late)
+        start_at = None
         if endpoint is None:
-            return
-        _runs.start_run(node, endpoint, job, now)
+            if _crashes.suspicion(node, task.name):
+                return
+            if not job.has_started or not _lookahead.is_in_use(node):
+                return
+            found = _lookahead.choose(open_endpoints, job, now, node.rng)
+            if found is None:
+                return
+            endpoint, start_at = found
+        _runs.start_run(node, endpoint, job, now, start_at)
 
 
 def _reject_without_endpoint(node, pool, waiting, any_open, now):
--- a/azurepier/dispatch/_runs.py
+++ b/azurepier/dispatch/_runs.py
@@ -4,6 +4,7 @@
 
 from azurepier.dispatch import _bounds
 from azurepier.dispatch import _crashes
+from azurepier.dispatch import _lookahead
 from azurepier.dispatch import _model
 from azurepier.dispatch import _state
 from azurepier.kernel import effects
@@ -50,29 +51,52 @@
 _NOT_RUN_STATUSES = frozenset({Status.REFUSED, Status.LEAVING})
 
 
-def reserve(endpoint, resources):
-    """Subtract a task's resources from an endpoint's free capacity."""
+def reserve(endpoint, run):
+    """Subtract a run's resources from an endpoint's free capacity.
+
+    Those of an order that waits there are part of the forecast only.
+    """
+    resources = run.resources
+    start_at = run.expected_start_at
+    _lookahead.occupy(
+        endpoint,
+        resources.cpu,
+        run.sent_at if start_at is None else start_at,
+        run.expected_end_at,
+    )
+    if start_at is not None:
+        return
     endpoint.free_cpu -= resources.cpu
     endpoint.free_mem_mb -= resources.mem_mb
     endpoint.free_gpu -= resources.gpu
 
 
-def release(endpoint, resources):
-    """Undo `reserve`."""
+def release(endpoint, run):
+    """Undo `reserve`, except for the forecast."""
+    resources = run.resources
+    if run.expected_start_at is not None:
+        return
     endpoint.free_cpu += resources.cpu
     endpoint.free_mem_mb += resources.mem_mb
     endpoint.free_gpu += resources.gpu
 
 
-def start_run(node, endpoint, job, now):
-    """Add an order for the next waiting task of a job; `flush` sends it."""
+def start_run(node, endpoint, job, now, expected_start_at=None):
+    """Add an order for the next waiting task of a job; `flush` sends it.
+
+    `expected_start_at` is the expected start of an order that has to wait at
+    the endpoint (s).
+    """
     task = job.waiting.pop()
     task.starts += 1
     seq = node.next_seq
     node.next_seq += 1
-    expected_end_at = now + job.work_s / endpoint.speed
+    starts_at = now if expected_start_at is None else expected_start_at
+    expected_end_at = starts_at + job.work_s / endpoint.speed
     resources = job.request.resources
+    wait_ms = _lookahead.wait_ms(node, endpoint, job, now, expected_start_at)
     run = _state.Run(seq, task, task.name, resources, now, expected_end_at)
+    run.expected_start_at = expected_start_at
     task.run = run
     suspicion = _crashes.suspicion(node, task.name)
     run.is_suspect = suspicion > 0
@@ -86,7 +110,11 @@
     if job.first_start_at is None:
         job.first_start_at = now
     job.last_start_at = now
-    reserve(endpoint, resources)
+    if expected_start_at is not None:
+        job.orders_to_wait += 1
+        job.longest_wait_s = max(job.longest_wait_s, expected_start_at - now)
+        node.count('orders_to_wait')
+    reserve(endpoint, run)
     batch = node.unsent_orders.get(endpoint.conn)
     if batch is None:
         batch = messages.RunOrders(orders=[], specs=[])
@@ -106,6 +134,7 @@
         label=resources.label or None,
         pool=job.queue.pool,
         max_per_worker=job.request.max_per_worker or None,
+        wait_ms=wait_ms,
     )
     batch.orders.append(order)
     _crashes.record_start(node, task.name)
@@ -210,6 +239,9 @@
         'placed': dict(job.starts_by_endpoint),
         'refused': dict(job.refused),
     }
+    if job.orders_to_wait:
+        fields['orders_to_wait'] = job.orders_to_wait
+        fields['expected_wait_ms'] = round(job.longest_wait_s * 1000)
     if isinstance(answer, _model.Finished):
         outcome = 'succeeded' if answer.succeeded else 'failed'
         out.append(effects.Log('job_ended', {**fields, 'outcome': outcome}))
@@ -270,7 +302,7 @@
     now : float
     """
     del endpoint.runs[run.seq]
-    release(endpoint, run.resources)
+    release(endpoint, run)
     node.run_count_by_task[run.name] -= 1
     if node.run_count_by_task[run.name] <= 0:
         del node.run_count_by_task[run.name]
@@ -303,6 +335,8 @@
     if endpoint.runs_per_job[job.request.id] <= 0:
         del endpoint.runs_per_job[job.request.id]
     task.run = None
+    if status is Status.REFUSED and run.expected_start_at is not None:
+        task.forecast_not_before = now + _lookahead.RETRY_PAUSE_S
     if status not in _NOT_RUN_STATUSES:
         job.may_have_run = True
     return out + _ON_STATUS.get(status, _requeue)(
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -62,6 +62,8 @@
     run: object = None
     done: bool = False
     not_before: float = 0.0
+    # Earliest time at which the task is ordered by a forecast again (s).
+    forecast_not_before: float = 0.0
 
 
 @attrs.define(eq=False, repr=False)
@@ -114,6 +116,10 @@
     starts_by_endpoint: collections.Counter = attrs.field(
         factory=collections.Counter
     )
+    # Number of orders that were sent to wait at endpoint processes, and the
+    # longest wait that was expected (s), for the log.
+    orders_to_wait: int = 0
+    longest_wait_s: float = 0.0
     # Number of refused orders by reason, for the log.
     refused: collections.Counter = attrs.field(factory=collections.Counter)
     # Whether `work_s` was derived from progress, not from the declared time.
@@ -154,6 +160,8 @@
     stopping: bool = False
     # Whether the task may have crashed a worker.
     is_suspect: bool = False
+    # Expected start at the endpoint (s), if the order has to wait there.
+    expected_start_at: float | None = None
     # The `Canceling` of a canceled job whose callers wait for its end.
     canceling: object = None
 
@@ -218,6 +226,10 @@
     runs_expire_at: float | None = None
     latest_session: int = 0
     reports_received: int = 0
+    # Forecast of the free CPU; None if the endpoint process sends none.
+    forecast: object = None
+    # Number of orders that wait there.
+    waiting_orders: int = 0
     runs: dict = attrs.field(factory=dict)
     runs_per_job: collections.Counter = attrs.field(
         factory=collections.Counter
--- a/azurepier/dispatch/tests/test_invariants.py
+++ b/azurepier/dispatch/tests/test_invariants.py
@@ -5,11 +5,13 @@
 from hypothesis import strategies as st
 import pytest
 
+from azurepier import dispatch
 from azurepier.kernel import events
 from azurepier import testing
 
 ENTRIES = 3
 WORKERS = 3
+WAITING = dispatch.decode_policy('[waiting_orders]')
 # Time after the last fault in which all calls are answered (s): delayed starts
 # take up to 12 s, the longest job 2 s.
 SETTLE_S = 30.0
@@ -151,9 +153,9 @@
 _step = st.one_of(st.one_of(_ACTIONS[:2]), st.one_of(_ACTIONS[2:]))
 
 
-def run_steps(seed, steps):
+def run_steps(seed, steps, policy=None):
     """Execute a sequence of steps and check the invariants."""
-    fleet = testing.make_pool(seed=seed, speeds=(1.0, 0.6, 1.5))
+    fleet = testing.make_pool(seed=seed, speeds=(1.0, 0.6, 1.5), policy=policy)
     fleet.driver.log_effects = None
     for action, *arguments in steps:
         action(fleet, *arguments)
@@ -177,8 +179,15 @@
         """Guards against concurrent runs of a task and unanswered calls."""
         run_steps(seed, steps)
 
+    @settings(max_examples=120, deadline=None, derandomize=True)
+    @given(st.integers(0, 1000), st.lists(_step, max_size=40))
+    def test_invariants_hold_where_orders_wait(self, seed, steps):
+        """Guards against orders that start after they were given up."""
+        run_steps(seed, steps, WAITING)
+
+    @pytest.mark.parametrize('policy', [None, WAITING])
     @pytest.mark.parametrize('seed', range(6))
-    def test_many_faults_under_load(self, seed):
+    def test_many_faults_under_load(self, seed, policy):
         """Guards against failures that occur only on fully loaded workers."""
         steps = []
         for index in range(60):
@@ -200,4 +209,4 @@
                 )
             if index % 12 == seed:
                 steps.append((_disconnect_caller, index))
-        run_steps(seed, steps)
+        run_steps(seed, steps, policy)
--- a/azurepier/dispatch/tests/test_mechanisms.py
+++ b/azurepier/dispatch/tests/test_mechanisms.py
@@ -11,6 +11,7 @@
 from azurepier.dispatch import _crashes
 from azurepier.dispatch import _drain
 from azurepier.dispatch import _evacuation
+from azurepier.dispatch import _lookahead
 from azurepier.dispatch import _node
 from azurepier.dispatch import _pass
 from azurepier.dispatch import _placement
@@ -26,6 +27,7 @@
 from azurepier.dispatch.tests import test_transfer as transfer
 from azurepier.dispatch.tests import test_unconfirmed_stops as stops
 from azurepier.dispatch.tests import test_unsuitable_workers as unsuitable
+from azurepier.dispatch.tests import test_waiting_orders as waits
 from azurepier.kernel import messages
 from azurepier.kernel import Status
 from azurepier import membership
@@ -34,6 +36,7 @@
 from azurepier.runner import _crashes as runner_crashes
 from azurepier.runner import _ends
 from azurepier.runner import _evacuation as runner_evacuation
+from azurepier.runner import _forecast
 from azurepier.runner import _identity
 from azurepier.runner import _lease
 from azurepier.runner import _lists
@@ -45,6 +48,7 @@
 from azurepier.runner import _stops
 from azurepier.runner import _suspects
 from azurepier.runner import _trial
+from azurepier.runner import _waiting
 
 CancelTests = cancels.TestCancel
 PropagationTests = evacuation.TestPropagation
@@ -55,6 +59,9 @@
 WorkerTests = faults.TestWorker
 HeartbeatTests = returned.TestHeartbeatOfAnotherWriter
 ReturnTests = under_way.TestReturnUnderTheSameId
+WaitFaultTests = waits.TestFaults
+WaitQueueTests = waits.TestQueue
+WaitEntryTests = waits.TestEntry
 
 
 def _no_effects(*args):
@@ -306,6 +313,59 @@
     patch.setattr(runner_crashes, '_note_crash', lambda node: None)
 
 
+def _keep_waiting_orders(patch):
+    patch.setattr(_waiting, 'drop', _no_effects)
+
+
+def _keep_orders_of_lost_workers(patch):
+    patch.setattr(_waiting, 'drop_all', _no_effects)
+
+
+def _ignore_stops_of_waiting_orders(patch):
+    patch.setitem(runner_node._MESSAGES, messages.RunStops, lambda *args: [])
+
+
+def _check_orders_only_once(patch):
+    patch.setattr(_orders, '_waiting_refusal_reason', lambda *args: None)
+
+
+def _start_for_silent_entries(patch):
+    patch.setattr(_waiting, 'is_heard', lambda link, now: True)
+
+
+def _refuse_without_capacity(patch):
+    patch.setattr(_waiting, 'may_wait', lambda *args: False)
+
+
+def _start_small_tasks_first(patch):
+    patch.setattr(_forecast.Profile, 'occupy', lambda *args: None)
+
+
+def _start_in_order_of_arrival(patch):
+    patch.setattr(
+        _waiting,
+        'sequence',
+        lambda node: sorted(
+            node.waiting.values(), key=lambda each: each.order.seq
+        ),
+    )
+
+
+def _take_any_number_of_orders(patch):
+    def may_wait(node, order):
+        return bool(order.wait_ms)
+
+    patch.setattr(_waiting, 'may_wait', may_wait)
+
+
+def _use_old_forecasts(patch):
+    patch.setattr(_lookahead, 'MAX_AGE_S', 1e9)
+
+
+def _order_by_free_capacity_only(patch):
+    patch.setattr(_lookahead, 'choose', lambda *args: None)
+
+
 # By mechanism: the function that disables it, and a test that then fails.
 MECHANISMS = {
     'callers are confirmed before their tasks are started': (
@@ -512,6 +572,98 @@
         _wait_for_lost_parts,
         transfer.TestLostParts().test_part_is_lost,
     ),
+    'orders without enough capacity wait': (
+        _refuse_without_capacity,
+        WaitQueueTests().test_start_follows_the_end_of_a_run,
+    ),
+    'waiting orders start in the sequence of their ends': (
+        _start_in_order_of_arrival,
+        WaitQueueTests().test_sequence,
+    ),
+    'a waiting order reserves capacity': (
+        _start_small_tasks_first,
+        lambda: WaitQueueTests().test_backfilling(0.35, False),
+    ),
+    'a wait ends': (
+        _check_orders_only_once,
+        WaitQueueTests().test_wait_ends,
+    ),
+    'the number of waiting orders is limited': (
+        _take_any_number_of_orders,
+        WaitQueueTests().test_number_is_limited,
+    ),
+    'waiting orders end with their connection': (
+        _keep_waiting_orders,
+        WaitFaultTests().test_connection_is_closed,
+    ),
+    'waiting orders end with a replaced connection': (
+        _keep_waiting_orders,
+        WaitFaultTests().test_connection_is_replaced,
+    ),
+    'waiting orders end with a silent connection': (
+        _keep_waiting_orders,
+        WaitFaultTests().test_entry_is_silent,
+    ),
+    'nothing starts for an entry that is silent': (
+        _start_for_silent_entries,
+        WaitFaultTests().test_entry_is_silent_until_a_run_ends,
+    ),
+    'a successor ends the waiting orders of its predecessor': (
+        _keep_waiting_orders,
+        WaitFaultTests().test_entry_is_replaced,
+    ),
+    'a stop ends a waiting order': (
+        _ignore_stops_of_waiting_orders,
+        WaitFaultTests().test_stop,
+    ),
+    'a draining endpoint process refuses waiting orders': (
+        _check_orders_only_once,
+        lambda: WaitFaultTests().test_worker_accepts_no_runs('drain'),
+    ),
+    'waiting orders are refused in an evacuated domain': (
+        _check_orders_only_once,
+        lambda: WaitFaultTests().test_worker_accepts_no_runs('evacuation'),
+    ),
+    'waiting orders for a leaving worker are refused': (
+        _check_orders_only_once,
+        lambda: WaitFaultTests().test_worker_accepts_no_runs('leaving'),
+    ),
+    'waiting orders for an unhealthy worker are refused': (
+        _check_orders_only_once,
+        lambda: WaitFaultTests().test_worker_accepts_no_runs('unhealthy'),
+    ),
+    'waiting orders end with the worker': (
+        _keep_orders_of_lost_workers,
+        lambda: WaitFaultTests().test_worker_accepts_no_runs('restart'),
+    ),
+    'waiting orders for a suspect worker are refused': (
+        _check_orders_only_once,
+        WaitFaultTests().test_worker_is_suspect,
+    ),
+    'waiting orders end with a pause of the process': (
+        _keep_waiting_orders,
+        WaitFaultTests().test_endpoint_process_is_paused,
+    ),
+    'tasks are ordered before their capacity is free': (
+        _order_by_free_capacity_only,
+        WaitEntryTests().test_order_is_sent_before_the_capacity_is_free,
+    ),
+    'waiting orders of a caller that has left are stopped': (
+        _ignore_stops_of_waiting_orders,
+        WaitEntryTests().test_caller_leaves,
+    ),
+    'waiting orders of a canceled job are stopped': (
+        _ignore_stops_of_waiting_orders,
+        WaitEntryTests().test_cancel,
+    ),
+    'old forecasts are not used': (
+        _use_old_forecasts,
+        WaitEntryTests().test_old_forecast,
+    ),
+    'waiting orders end with their entry': (
+        _keep_waiting_orders,
+        WaitEntryTests().test_entry_is_killed,
+    ),
     'jobs that wait for an evacuated pool are rejected': (
         _wait_for_evacuated_pool,
         evacuation.TestAllDomains().test_waiting_jobs_are_rejected_at_once,
