Shorten the waits and share the forecasts between entries

An order now waits 30 ms beyond its expected start. An entry now uses a forecast with a probability of 1 to the number of entries.

--- a/azurepier/dispatch/_lookahead.py
+++ b/azurepier/dispatch/_lookahead.py
@@ -25,7 +25,7 @@
 MAX_EXPECTED_WAIT_S = 0.1
 # Time for which an order may wait beyond its expected start (s), for the error
 # of the forecast and the orders of other entries.
-GRACE_S = 0.08
+GRACE_S = 0.03
 # Pause after the refusal of an order that was sent by a forecast (s): the
 # capacity went to another entry, and the next forecast may be as old.
 RETRY_PAUSE_S = 0.05
@@ -45,10 +45,14 @@
     free : list of int
         Free CPU at `OFFSETS_S` after it, less that of newer orders
         (thousandths of a core).
+    draw : float or None
+        Random number from 0 to 1 that decides whether this entry sends orders
+        to wait by this report; None until it is needed.
     """
 
     at: float
     free: list
+    draw: float | None = None
 
 
 def is_in_use(node):
@@ -102,6 +106,19 @@
     return start_at
 
 
+def _may_use(endpoint, rng):
+    """Tell whether this entry may send orders to wait by the last report.
+
+    All entries of the endpoint process get the same forecast at about the same
+    time. If each used it, most of their orders would be refused; so one does
+    on average.
+    """
+    forecast = endpoint.forecast
+    if forecast.draw is None:
+        forecast.draw = rng.random()
+    return forecast.draw * endpoint.entry_count <= 1.0
+
+
 def latest_start_at(endpoint, job):
     """Return the latest start on an endpoint for an end in time (s)."""
     return (
@@ -141,6 +158,8 @@
             continue
         if start_at - now > MAX_EXPECTED_WAIT_S:
             continue
+        if not _may_use(endpoint, rng):
+            continue
         if (
             endpoint.name in avoided
             or endpoint.failures >= _placement.FAILURES_MAX
--- a/azurepier/runner/_waiting.py
+++ b/azurepier/runner/_waiting.py
@@ -27,7 +27,7 @@
 
 # An order is kept if its expected start is at most this long after the end of
 # its wait (s), since a forecast may be wrong.
-TOLERANCE_S = 0.05
+TOLERANCE_S = 0.02
 
 
 @attrs.define(eq=False, repr=False)
