--- a/azurepier/dispatch/_lookahead.py
+++ b/azurepier/dispatch/_lookahead.py
@@ -4,8 +4,8 @@
 that capacity has become free, and its orders compete for it with those of the
 others. Endpoint processes keep orders until they can start
 (`azurepier.runner._waiting`) and report what will be free, with the orders of
-all entries taken into account. So an entry orders a task where it is expected
-to end first, and all entries decide by the same waits.
+all entries taken into account. A job begins on free capacity; its other tasks
+are ordered where the forecasts let them end first.
 
 An endpoint without a recent forecast is used by its free capacity only.
 """
--- a/azurepier/runner/_waiting.py
+++ b/azurepier/runner/_waiting.py
@@ -182,8 +182,8 @@
 
     Returns
     -------
-    list of (WaitingOrder, float)
-        With the time until the start (s); infinite orders are left out.
+    list of (WaitingOrder, float or None)
+        With the time until the start (s); None if none is expected.
     Profile
         Free capacity with these orders started.
     """
