--- a/azurepier/dispatch/_links.py
+++ b/azurepier/dispatch/_links.py
@@ -7,6 +7,7 @@
 from azurepier.dispatch import _cancel_checks
 from azurepier.dispatch import _demand
 from azurepier.dispatch import _evacuation
+from azurepier.dispatch import _lookahead
 from azurepier.dispatch import _peers
 from azurepier.dispatch import _priority
 from azurepier.dispatch import _runs
@@ -110,7 +111,7 @@
             out = mark_disconnected(node, endpoint, 'outdated', now)
             return [*out, effects.Abort(conn)]
         endpoint.latest_session = msg.session
-    update_state(endpoint, msg.state)
+    update_state(endpoint, msg.state, now)
     _arrival.on_state(node, endpoint, now)
     endpoint.runs_expire_at = None
     node.timers.cancel(('runs_expired', endpoint.incarnation))
@@ -167,7 +168,7 @@
 
 def on_pool_state(node, endpoint, msg, now):
     """Apply the state that an endpoint reports."""
-    update_state(endpoint, msg)
+    update_state(endpoint, msg, now)
     _arrival.on_state(node, endpoint, now)
     node.dirty = node.dirty or any(job.waiting for job in node.jobs.values())
     return []
@@ -178,7 +179,7 @@
     out = []
     for end in msg.ends:
         out += on_run_end(node, endpoint, end, now)
-    update_state(endpoint, msg.state)
+    update_state(endpoint, msg.state, now)
     endpoint.reports_received += 1
     node.dirty = True
     return out
@@ -194,7 +195,7 @@
     )
 
 
-def update_state(endpoint, state):
+def update_state(endpoint, state, now):
     """Apply a state report and reserve capacity for newer orders."""
     endpoint.pool = state.pool
     endpoint.labels = frozenset(state.labels)
@@ -210,9 +211,11 @@
     endpoint.entry_count = state.entries
     if state.arriving is not None:
         endpoint.others_arriving = _arriving.decode(state.arriving)
+    endpoint.waiting_orders = state.waiting_orders or 0
+    _lookahead.update(endpoint, state, now)
     for run in endpoint.runs.values():
         if run.seq > state.seen:
-            _runs.reserve(endpoint, run.resources)
+            _runs.reserve(endpoint, run)
 
 
 def on_heartbeat(node, endpoint, msg, now):
--- a/azurepier/testing/_pool.py
+++ b/azurepier/testing/_pool.py
@@ -389,6 +389,7 @@
     domains=1,
     delay_s=LOCAL_DELAY_S,
     uneven=0.0,
+    policy=None,
 ):
     """Return a fleet that has been running for two seconds.
 
@@ -403,12 +404,20 @@
         One-way delay of messages between processes (s).
     uneven : float
         Largest relative deviation of a task from the mean of its job.
+    policy : azurepier.dispatch.Policy, optional
+        Optional parts in use; none by default.
     """
     driver = _driver.Driver(
         seed, lambda a, b: LOCAL_DELAY_S if a is b else delay_s
     )
     cpus = [cpu] * len(speeds) if isinstance(cpu, int) else cpu
-    fleet = PoolFleet(driver, _ledger.Ledger(), domains=domains, uneven=uneven)
+    fleet = PoolFleet(
+        driver,
+        _ledger.Ledger(),
+        domains=domains,
+        uneven=uneven,
+        policy=policy or dispatch.Policy(),
+    )
     driver.on_answer = fleet.on_answer
     driver.log_effects = []
     driver.effect_handlers[runner.StartRun] = lambda _, process, effect: (
