Bound what HTTP clients can make a process keep

Cause: uvicorn's httptools protocol parses all that a read of 256 KB holds and keeps each request until those before it are answered; the parser keeps a header or trailer until its end; nothing limits the number of connections or the bytes of all of them.

Header sections, trailers, bodies and framing are limited; requests with more than 8 KB and unread answers take from memory that all connections share; the number of connections follows from limits.memory_mb and limits.max_fds of the settings, which may be absent. At that number, connections that send slowly or don't read give way first, then the one idle for longest, so that ordinary callers are admitted. Deadlines cover idle connections, incomplete requests and unread answers, not a request that waits for its answer.

--- a/azurepier/daemon/_endpoint.py
+++ b/azurepier/daemon/_endpoint.py
@@ -86,7 +86,7 @@
         runner.run_in_background(_tasks.watch_health(runner))
         runner.run_in_background(_tasks.renew_leases(runner))
         app = web.create_operators_app(shell, metrics.registry)
-        server = await _web.serve(app, web_sock)
+        server = await _web.serve(app, web_sock, shell.limits)
         stack.push_async_callback(server.close)
         return _process.Process(
             shell,
--- a/azurepier/daemon/_entry.py
+++ b/azurepier/daemon/_entry.py
@@ -71,9 +71,13 @@
             )
             stack.push_async_callback(_platform.shut_down, reader, tasks)
         app = web.create_app(shell, metrics.registry)
-        server = await _web.serve(app, web_sock)
+        server = await _web.serve(app, web_sock, shell.limits)
         stack.push_async_callback(server.close)
-        listener = await wire.listen(sock, shell.hooks)
+        listener = await wire.listen(
+            sock,
+            shell.hooks,
+            max_connections=shell.limits.max_inner_connections,
+        )
         stack.callback(listener.close)
         return _process.Process(
             shell,
--- /dev/null
+++ b/azurepier/daemon/_http_server.py
@@ -0,0 +1,416 @@
+"""HTTP protocol of the server that bounds what a connection can take.
+
+uvicorn parses all that has arrived, and keeps each request until those before
+it are answered; its parser keeps a header until its end. This protocol parses
+little at a time, stops reading while answers wait to be sent or requests wait
+for their turn, and closes the connections that exceed a limit. Bytes, not
+requests, are counted where that suffices, so that an ordinary request costs
+some comparisons.
+"""
+
+import asyncio
+import socket
+
+import httptools
+from uvicorn.protocols.http import flow_control
+from uvicorn.protocols.http import httptools_impl
+
+from azurepier.daemon import _limits
+from azurepier.daemon import _logs
+
+_log = _logs.EventLog('azurepier')
+# All connections of a process share one receive buffer: the event loop calls
+# `buffer_updated` immediately after it has filled the buffer.
+_receive_buffer = memoryview(bytearray(_limits.READ_BYTES))
+_ANSWER = b'HTTP/1.1 %b\r\ncontent-length: 0\r\nconnection: close\r\n\r\n'
+_STATUS_BY_REASON = {
+    'header_bytes': b'431 Request Header Fields Too Large',
+    'body_bytes': b'413 Content Too Large',
+    'framing_bytes': b'400 Bad Request',
+    'malformed': b'400 Bad Request',
+    'header_timeout': b'408 Request Timeout',
+}
+
+
+class _ExceededError(Exception):
+    """A limit was exceeded; stops the parser."""
+
+
+class _Flow(flow_control.FlowControl):
+    """Flow control that the application can't resume at will."""
+
+    def __init__(self, transport, conn):
+        super().__init__(transport)
+        self._conn = conn
+
+    def pause_reading(self):
+        if not self.read_paused:
+            super().pause_reading()
+            self._conn.on_reading_paused()
+
+    def resume_reading(self):
+        if self.read_paused and self._conn.may_read():
+            super().resume_reading()
+            self._conn.on_reading_resumed()
+
+
+class Port:
+    """The open connections of one listening port.
+
+    Parameters
+    ----------
+    limits : azurepier.daemon._limits.Limits
+        Limits of the process.
+    name : str
+        For logs.
+    share : float
+        Share of the connections of the process that this port may use.
+
+    Attributes
+    ----------
+    waiting : dict
+        Connections that have no request in progress, as keys, in the order in
+        which they began to wait; with the time of that (s).
+    receiving, unread : dict
+        The same of connections that send a request, and of those that don't
+        read their answers.
+    """
+
+    def __init__(self, limits, name, share=1.0):
+        self.limits = limits
+        self.name = name
+        self.max_connections = max(int(limits.max_connections * share), 2)
+        self.connections = 0
+        self.waiting = {}
+        self.receiving = {}
+        self.unread = {}
+        self._loop = asyncio.get_running_loop()
+        self._loop.call_later(_limits.SWEEP_INTERVAL_S, self._sweep)
+
+    def admit(self):
+        """Tell whether there is room for another connection.
+
+        One gives way that has been sending a request, or has left answers
+        unread, for `SLOW_REQUEST_S`, else the one that has waited longest for
+        its next request.
+        """
+        if self.connections < self.max_connections:
+            return True
+        now = self._loop.time()
+        for since, age_s in (
+            (self.receiving, _limits.SLOW_REQUEST_S),
+            (self.unread, _limits.SLOW_REQUEST_S),
+            (self.waiting, 0.0),
+            (self.receiving, 0.0),
+        ):
+            conn, began_at = next(iter(since.items()), (None, now))
+            if conn is not None and now - began_at >= age_s:
+                conn.close_for('connections')
+                return True
+        return False
+
+    def _sweep(self):
+        now = self._loop.time()
+        requests = self.limits.requests
+        for since, limit_s, reason in (
+            (self.waiting, requests.idle_timeout_s, 'idle_timeout'),
+            (self.receiving, requests.header_timeout_s, 'header_timeout'),
+            (self.unread, requests.idle_timeout_s, 'unread_answers'),
+        ):
+            expired = []
+            for conn, began_at in since.items():
+                if now - began_at < limit_s:
+                    break
+                expired.append(conn)
+            for conn in expired:
+                conn.close_for(reason)
+        self._loop.call_later(_limits.SWEEP_INTERVAL_S, self._sweep)
+
+
+def prepare_socket(sock):
+    """Bound the kernel's buffers of the connections of a listening socket."""
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        sock.setsockopt(socket.SOL_SOCKET, option, _limits.SOCKET_BUFFER_BYTES)
+
+
+class BoundedProtocol(
+    httptools_impl.HttpToolsProtocol, asyncio.BufferedProtocol
+):
+    """Protocol of one connection.
+
+    Parameters
+    ----------
+    port : Port
+    **kwargs
+        Those of the base class.
+    """
+
+    def __init__(self, port, **kwargs):
+        super().__init__(**kwargs)
+        self._port = port
+        self._admitted = False
+        self._closing = False
+        # Bytes that were read but not parsed.
+        self._unparsed = b''
+        # Whether the parser is in a header section, and the bytes of it that
+        # were parsed.
+        self._in_head = True
+        self._head_bytes = 0
+        self._body_bytes = 0
+        self._framing_bytes = 0
+        self._framing_since = 0
+        self._taken_bytes = 0
+        self._unsent_bytes = 0
+        self._upgraded = False
+        # Limit that a callback of the parser has found to be exceeded.
+        self._exceeded = ''
+
+    def connection_made(self, transport):
+        """Admit the connection, or close it if there are too many."""
+        super().connection_made(transport)
+        self.flow = _Flow(transport, self)
+        port = self._port
+        if not port.admit():
+            self.close_for('connections')
+            return
+        self._admitted = True
+        port.connections += 1
+        # Any unsent byte pauses reading.
+        transport.set_write_buffer_limits(high=0)
+        port.waiting[self] = self.loop.time()
+
+    def connection_lost(self, exc):
+        """Return what the connection has taken."""
+        self._forget()
+        self.pipeline.clear()
+        super().connection_lost(exc)
+
+    def _forget(self):
+        port = self._port
+        self._closing = True
+        if self._admitted:
+            self._admitted = False
+            port.connections -= 1
+        port.limits.used_bytes -= self._taken_bytes + self._unsent_bytes
+        self._taken_bytes = self._unsent_bytes = 0
+        self._unparsed = b''
+        for since in (port.waiting, port.receiving, port.unread):
+            since.pop(self, None)
+
+    def close_for(self, reason):
+        """Close the connection because it has exceeded a limit.
+
+        The client is told the status if no answer is under way.
+        """
+        if self._closing:
+            return
+        self._forget()
+        closed = self._port.limits.closed
+        closed[reason] = closed.get(reason, 0) + 1
+        if reason != 'idle_timeout':
+            _log.warning(
+                'client_closed',
+                reason=reason,
+                port=self._port.name,
+                client=self.client and self.client[0],
+            )
+        status = _STATUS_BY_REASON.get(reason)
+        idle = self.cycle is None or self.cycle.response_complete
+        may_answer = idle or not (self._in_head or self.cycle.response_started)
+        if self.cycle is not None and not self.cycle.response_complete:
+            self.cycle.disconnected = True
+            self.cycle.message_event.set()
+        if status and may_answer and not self.flow.write_paused:
+            self.transport.write(_ANSWER % status)
+            # Unsent bytes would keep the connection open.
+            if not self.transport.get_write_buffer_size():
+                self.transport.close()
+                return
+        self.transport.abort()
+
+    def on_reading_paused(self):
+        """React to a pause of reading."""
+
+    def on_reading_resumed(self):
+        """React to the end of a pause."""
+
+    def may_read(self):
+        """Tell whether neither answers nor requests wait."""
+        return not (self._unparsed or self.pipeline or self.flow.write_paused)
+
+    def get_buffer(self, sizehint):
+        """Return the buffer for received bytes."""
+        return _receive_buffer
+
+    def buffer_updated(self, nbytes):
+        """Parse received bytes."""
+        self.data_received(bytes(_receive_buffer[:nbytes]))
+
+    def data_received(self, data):
+        """Parse data, as far as the limits allow."""
+        if self._closing or self._upgraded:
+            return
+        if self._unparsed:
+            # It was read before reading could be paused.
+            self._unparsed += data
+            return
+        if self._port.waiting.pop(self, None) is not None:
+            self._port.receiving[self] = self.loop.time()
+        size = _limits.PARSE_BYTES
+        for start in range(0, len(data), size):
+            # An open request goes on before further ones are parsed.
+            if self.pipeline or self.flow.write_paused:
+                self._unparsed = data[start:]
+                self.flow.pause_reading()
+                return
+            self._parse(data[start : start + size])
+            if self._closing or self._upgraded:
+                return
+
+    def _parse(self, data):
+        in_head = self._in_head
+        body_bytes = self._body_bytes
+        self._framing_since += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # The client may not go on in another protocol.
+            self._upgraded = True
+            if self.cycle is not None:
+                self.cycle.keep_alive = False
+            self.flow.pause_reading()
+            return
+        except httptools.HttpParserError:
+            self.close_for(self._exceeded or 'malformed')
+            return
+        requests = self._port.limits.requests
+        if self._in_head:
+            # Empty lines and headers that the parser keeps until their end.
+            if in_head:
+                self._head_bytes += len(data)
+            # A slice may begin with the end of the previous request.
+            limit = requests.max_header_bytes + _limits.PARSE_BYTES
+            if self._head_bytes > limit:
+                self.close_for('header_bytes')
+            return
+        if in_head or self._body_bytes > body_bytes:
+            self._framing_since = 0
+        elif self._framing_since > requests.max_header_bytes:
+            # Trailers and chunk extensions.
+            self.close_for('header_bytes')
+            return
+        self._framing_bytes += len(data)
+        limit = requests.max_body_bytes * _limits.MAX_FRAMING_FACTOR
+        if self._framing_bytes > limit:
+            self.close_for('framing_bytes')
+
+    def on_message_begin(self):
+        """Start a header section."""
+        super().on_message_begin()
+        self._body_bytes = self._framing_bytes = self._framing_since = 0
+
+    def on_header(self, name, value):
+        """Keep a header; trailers are dropped."""
+        if self._in_head:
+            if len(self.headers) >= _limits.MAX_HEADERS:
+                self._exceed('header_bytes')
+            super().on_header(name, value)
+
+    def on_headers_complete(self):
+        """Start the request."""
+        self._in_head = False
+        size = len(self.url)
+        for name, value in self.headers:
+            size += len(name) + len(value) + 4
+        if size > self._port.limits.requests.max_header_bytes:
+            self._exceed('header_bytes')
+        if size > _limits.FREE_BYTES:
+            self._take(size)
+        super().on_headers_complete()
+
+    def on_body(self, body):
+        """Keep a part of a body."""
+        self._body_bytes += len(body)
+        if self._body_bytes > self._port.limits.requests.max_body_bytes:
+            self._exceed('body_bytes')
+        if self._body_bytes > _limits.FREE_BYTES:
+            # It is copied once when it is complete.
+            self._take(2 * len(body))
+        super().on_body(body)
+
+    def _exceed(self, reason):
+        self._exceeded = reason
+        raise _ExceededError(reason)
+
+    def _take(self, count):
+        if not self._port.limits.take(count):
+            self._exceed('memory')
+        self._taken_bytes += count
+
+    def on_message_complete(self):
+        """End the request; the next bytes are those of another one."""
+        super().on_message_complete()
+        self._in_head = True
+        self._head_bytes = 0
+        self._port.receiving.pop(self, None)
+        if self.cycle is not None and self.cycle.response_complete:
+            self._wait_for_request()
+
+    def _wait_for_request(self):
+        if not self._closing and not self._unparsed:
+            self._port.waiting.setdefault(self, self.loop.time())
+
+    def on_response_complete(self):
+        """Return the memory of the request, and go on with the next one."""
+        if not self._closing:
+            self._port.limits.used_bytes -= self._taken_bytes
+            self._taken_bytes = 0
+        super().on_response_complete()
+        # The timer of the base class starts anew with each request; deadlines
+        # are checked for all connections together.
+        self._unset_keepalive_if_required()
+        if self._in_head and not self.pipeline and not self._closing:
+            self._wait_for_request()
+        self._go_on()
+
+    def pause_writing(self):
+        """Stop reading while an answer waits to be sent."""
+        super().pause_writing()
+        if self._closing:
+            return
+        self.flow.pause_reading()
+        self._port.unread[self] = self.loop.time()
+        unsent = self.transport.get_write_buffer_size()
+        if unsent <= _limits.FREE_BYTES:
+            return
+        if self._port.limits.take(unsent):
+            self._unsent_bytes = unsent
+        else:
+            # The transport calls this within a write.
+            self.loop.call_soon(self.close_for, 'memory')
+
+    def resume_writing(self):
+        """Go on reading."""
+        super().resume_writing()
+        self._port.unread.pop(self, None)
+        self._port.limits.used_bytes -= self._unsent_bytes
+        self._unsent_bytes = 0
+        self._go_on()
+
+    def _go_on(self):
+        """Parse what waits, unless a request or an answer is before it."""
+        if self._closing or self.transport.is_closing():
+            return
+        if self._unparsed:
+            self.loop.call_soon(self._parse_waiting)
+        else:
+            self.flow.resume_reading()
+
+    def _parse_waiting(self):
+        if self._closing or self.flow.write_paused or self.pipeline:
+            return
+        data, self._unparsed = self._unparsed, b''
+        if data:
+            self.data_received(data)
+            if not self._unparsed:
+                self._go_on()
--- a/azurepier/daemon/_shell.py
+++ b/azurepier/daemon/_shell.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from azurepier.daemon import _limits
 from azurepier.daemon import _logs
 from azurepier import kernel
 from azurepier.kernel import effects
@@ -39,6 +40,8 @@
         Called with the delay of each wake-up (s), for the metrics.
     max_unsent_age_s : float
         That of `azurepier.wire.Hooks`.
+    limits : azurepier.daemon._limits.Limits
+        Limits on what clients can make the process keep.
 
     Attributes
     ----------
@@ -65,6 +68,7 @@
     keys: object = tuple
     observe_delay: object = _no_op
     max_unsent_age_s: float = math.inf
+    limits: object = attrs.field(factory=_limits.create)
     loop: asyncio.AbstractEventLoop = attrs.field(
         factory=asyncio.get_running_loop
     )
--- a/azurepier/daemon/_web.py
+++ b/azurepier/daemon/_web.py
@@ -2,15 +2,16 @@
 
 import asyncio
 import contextlib
+import functools
 
 import attrs
 import uvicorn
 
+from azurepier.daemon import _http_server
+from azurepier.daemon import _limits
 from azurepier.kernel import AzurepierError
+from azurepier import wire
 
-# Longer than the minute for which callers and load balancers reuse idle
-# connections.
-KEEP_ALIVE_TIMEOUT_S = 75
 SHUTDOWN_TIMEOUT_S = 5
 _START_POLL_INTERVAL_S = 0.01
 
@@ -36,9 +37,15 @@
         await asyncio.gather(self.task, return_exceptions=True)
 
 
-async def serve(app, sock):
+async def serve(app, sock, limits):
     """Serve an ASGI application on a listening socket.
 
+    Parameters
+    ----------
+    app : callable
+    sock : socket.socket
+    limits : azurepier.daemon._limits.Limits
+
     Raises
     ------
     AzurepierError
@@ -47,14 +54,16 @@
     cfg = uvicorn.Config(
         app,
         loop='asyncio',
-        http='httptools',
+        http=functools.partial(
+            _http_server.BoundedProtocol, _http_server.Port(limits, 'web')
+        ),
         ws='none',
         lifespan='on',
         log_config=None,
         access_log=False,
         server_header=False,
         proxy_headers=False,
-        timeout_keep_alive=KEEP_ALIVE_TIMEOUT_S,
+        backlog=_limits.ACCEPTED_AT_ONCE,
         timeout_graceful_shutdown=SHUTDOWN_TIMEOUT_S,
     )
     server = _Server(cfg)
@@ -64,4 +73,6 @@
         if task.done():
             raise AzurepierError('the HTTP server did not start')
         await asyncio.sleep(_START_POLL_INTERVAL_S)
+    _http_server.prepare_socket(sock)
+    sock.listen(wire.BACKLOG)
     return WebServer(server, task)
