Put the operator's limits in force and count the clients closed by them

Cause: `limits` of the configuration was ignored; operators couldn't see which limit a client had exceeded; 512 bytes at a time made each job's POST slower.

Change: a version's max_header_bytes, max_body_bytes, header_timeout_ms and idle_timeout_ms replace the defaults when the version is applied. Idle connections have no timer of their own.

--- a/azurepier/daemon/_http_server.py
+++ b/azurepier/daemon/_http_server.py
@@ -156,6 +156,7 @@
         # were parsed.
         self._in_head = True
         self._head_bytes = 0
+        self._slice_bytes = 0
         self._body_bytes = 0
         self._framing_bytes = 0
         self._framing_since = 0
@@ -256,7 +257,12 @@
             return
         if self._port.waiting.pop(self, None) is not None:
             self._port.receiving[self] = self.loop.time()
+        # Each request has an empty line. Most reads hold a single one and are
+        # parsed at once.
+        ends = data.count(b'\n\r\n') + data.count(b'\n\n')
         size = _limits.PARSE_BYTES
+        if ends <= _limits.MAX_REQUESTS_AHEAD:
+            size = _limits.READ_BYTES
         for start in range(0, len(data), size):
             # An open request goes on before further ones are parsed.
             if self.pipeline or self.flow.write_paused:
@@ -270,6 +276,7 @@
     def _parse(self, data):
         in_head = self._in_head
         body_bytes = self._body_bytes
+        self._slice_bytes = len(data)
         self._framing_since += len(data)
         try:
             self.parser.feed_data(data)
@@ -288,9 +295,7 @@
             # Empty lines and headers that the parser keeps until their end.
             if in_head:
                 self._head_bytes += len(data)
-            # A slice may begin with the end of the previous request.
-            limit = requests.max_header_bytes + _limits.PARSE_BYTES
-            if self._head_bytes > limit:
+            if self._head_bytes > requests.max_header_bytes:
                 self.close_for('header_bytes')
             return
         if in_head or self._body_bytes > body_bytes:
@@ -319,13 +324,16 @@
     def on_headers_complete(self):
         """Start the request."""
         self._in_head = False
-        size = len(self.url)
-        for name, value in self.headers:
-            size += len(name) + len(value) + 4
-        if size > self._port.limits.requests.max_header_bytes:
-            self._exceed('header_bytes')
-        if size > _limits.FREE_BYTES:
-            self._take(size)
+        limit = self._port.limits.requests.max_header_bytes
+        parsed = max(self._head_bytes, 0) + self._slice_bytes
+        if parsed > min(limit, _limits.FREE_BYTES):
+            size = len(self.url)
+            for name, value in self.headers:
+                size += len(name) + len(value) + 4
+            if size > limit:
+                self._exceed('header_bytes')
+            if size > _limits.FREE_BYTES:
+                self._take(size)
         super().on_headers_complete()
 
     def on_body(self, body):
@@ -351,7 +359,9 @@
         """End the request; the next bytes are those of another one."""
         super().on_message_complete()
         self._in_head = True
-        self._head_bytes = 0
+        # What follows in this slice isn't counted, so that a client within
+        # the limits is never refused.
+        self._head_bytes = -self._slice_bytes
         self._port.receiving.pop(self, None)
         if self.cycle is not None and self.cycle.response_complete:
             self._wait_for_request()
@@ -362,14 +372,17 @@
 
     def on_response_complete(self):
         """Return the memory of the request, and go on with the next one."""
-        if not self._closing:
+        self.server_state.total_requests += 1
+        if self._taken_bytes:
             self._port.limits.used_bytes -= self._taken_bytes
             self._taken_bytes = 0
-        super().on_response_complete()
-        # The timer of the base class starts anew with each request; deadlines
-        # are checked for all connections together.
-        self._unset_keepalive_if_required()
-        if self._in_head and not self.pipeline and not self._closing:
+        if self._closing or self.transport.is_closing():
+            return
+        # The base class starts a timer for each idle connection; here the
+        # deadlines of all connections are checked together.
+        if self.pipeline:
+            self._start_asgi_task(*self.pipeline.pop())
+        elif self._in_head:
             self._wait_for_request()
         self._go_on()
 
--- a/azurepier/daemon/_metrics.py
+++ b/azurepier/daemon/_metrics.py
@@ -61,6 +61,13 @@
             'Messages of types that this build does not know.',
             traffic.ignored,
         )
+        yield _labelled_family(
+            counter,
+            'azurepier_clients_closed',
+            'Connections of clients that were closed, by limit.',
+            'reason',
+            dict(self.shell.limits.closed),
+        )
         yield counter(
             'azurepier_handler_errors',
             'Events that the node failed to handle.',
--- a/azurepier/daemon/_pool_metrics.py
+++ b/azurepier/daemon/_pool_metrics.py
@@ -63,6 +63,14 @@
                 f'Bytes {direction} on connections between processes.',
                 getattr(self.shell.hooks.traffic, f'{direction}_bytes'),
             )
+        closed = core.CounterMetricFamily(
+            'azurepier_clients_closed',
+            'Connections of clients that were closed, by limit.',
+            labels=['reason'],
+        )
+        for reason, count in list(self.shell.limits.closed.items()):
+            closed.add_metric([reason], count)
+        yield closed
         yield core.CounterMetricFamily(
             'azurepier_messages_ignored',
             'Messages of types that this build does not know.',
--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -272,6 +272,23 @@
             await entry.until(lambda: not entry.node.jobs)
             assert entry.orders == []
 
+    @run_in_loop
+    async def test_caller_leaves_while_it_is_not_read(self):
+        """Guards against a job that waits on for a caller that has left.
+
+        Reading is paused behind a second request, and no pass of the entry
+        asks for the callers.
+        """
+        async with running_entry() as entry:
+            entry.shell.handlers[dispatch.ConfirmCallers] = lambda *_: (
+                entry.shell.feed(dispatch.CallersConfirmed())
+            )
+            client = entry.send(*'abcdefgh')
+            await entry.until(lambda: entry.node.jobs)
+            await asyncio.sleep(0.05)
+            client.close()
+            await entry.until(lambda: entry.node.counters['jobs_abandoned'])
+
     @run_in_loop
     async def test_one_of_two_callers_has_left(self):
         """Guards against a job that is dropped while a caller waits."""
--- a/tests/adapter/test_decode.py
+++ b/tests/adapter/test_decode.py
@@ -14,6 +14,7 @@
 from adapter import _workers
 import pytest
 
+from azurepier.daemon import _limits
 from azurepier import dispatch
 from azurepier.kernel import InvalidInputError
 from azurepier.kernel import SettingsError
@@ -398,3 +399,19 @@
             roles = tomllib.load(file)['roles']
         address = f'{_listening.METRICS_PORT}{_front.METRICS_PATH}'
         assert {role['metrics'] for role in roles.values()} == {address}
+
+
+class TestLimits:
+    def test_limits_of_a_version(self):
+        """Guards against limits of the operator that aren't in force."""
+        limits = {
+            'max_header_bytes': 9000,
+            'max_body_bytes': 5000,
+            'header_timeout_ms': 1500,
+            'idle_timeout_ms': 'x',
+        }
+        body = json.dumps({'version': 1, 'limits': limits}).encode()
+        decoded = _jobs.decode_limits(body)
+        assert decoded == _limits.Requests(9000, 5000, 1.5)
+        for other in (b'{}', b'{"limits": null}', b'{"limits": [1]}'):
+            assert _jobs.decode_limits(other) == _limits.Requests()
