Bound the incomplete messages of all connections between processes

Cause: each connection may hold 4 MB of an incomplete message, and nothing bounds their sum. A listener accepted 100 connections before it closed those above its limit, and asyncio shortened the kernel's queue to 100.

Change: what a connection holds above 64 KB takes from the memory that large requests and unread answers share; without memory the connection is closed, with a reason in the log, and the process goes on. Listeners accept 16 connections at a time and keep the kernel's queue of 1,024.

--- a/azurepier/daemon/_limits.py
+++ b/azurepier/daemon/_limits.py
@@ -97,8 +97,11 @@
     closed: dict = attrs.field(factory=dict)
 
     def take(self, count):
-        """Take shared memory (bytes); return False if there is too little."""
-        if self.used_bytes + count > self.shared_bytes:
+        """Take shared memory (bytes); return False if there is too little.
+
+        A negative number returns what was taken.
+        """
+        if count > 0 and self.used_bytes + count > self.shared_bytes:
             return False
         self.used_bytes += count
         return True
--- a/azurepier/wire/_connection.py
+++ b/azurepier/wire/_connection.py
@@ -16,6 +16,9 @@
 
 HANDSHAKE_TIMEOUT_S = 3.0
 MAX_HANDSHAKE_BYTES = 64 * 1024
+# Part of an incomplete message that doesn't count towards the memory of all
+# connections; most messages are shorter.
+FREE_INCOMPLETE_BYTES = 64 * 1024
 MAX_UNSENT_BYTES = 32 * 1024 * 1024
 # A connection that is being closed is aborted after this time if the peer
 # has not read the remaining bytes.
@@ -71,6 +74,9 @@
         A connection is aborted if its messages were not written within this
         time (s). The process was paused then, and what it concluded before
         may no longer hold.
+    take_memory : callable
+        ``take_memory(count) -> bool`` tells whether there is memory for so
+        many more bytes of incomplete messages; negative to return them.
     """
 
     make_hello: typing.Callable
@@ -81,6 +87,7 @@
     on_connect_failed: typing.Callable
     traffic: Traffic = attrs.field(factory=Traffic)
     max_unsent_age_s: float = math.inf
+    take_memory: typing.Callable = lambda count: True
 
 
 class _Phase(enum.Enum):
@@ -124,6 +131,7 @@
         self._handshake = None
         self._handshake_bytes = 0
         self._splitter = _frames.FrameSplitter()
+        self._taken_bytes = 0
         self._send_buffer = []
         self._send_buffer_bytes = 0
         # Time at which the oldest message was added to the buffer (s).
@@ -214,9 +222,23 @@
                     self._on_handshake_payload(payload)
                 else:
                     return
+            self._count_incomplete()
         except WireError as exc:
             self._fail(str(exc))
 
+    def _count_incomplete(self):
+        """Take the memory of an incomplete message, or return it."""
+        held = self._splitter.pending_bytes
+        if held <= FREE_INCOMPLETE_BYTES:
+            held = 0
+        if held == self._taken_bytes:
+            return
+        if not self._hooks.take_memory(held - self._taken_bytes):
+            raise WireError(
+                f'no memory for an incomplete message of {held} bytes'
+            )
+        self._taken_bytes = held
+
     def _on_payload(self, payload):
         if not _codec.is_known(payload):
             # A later build may send it. Closing the connection would stop the
@@ -296,6 +318,9 @@
 
     def connection_lost(self, exc):
         """Report the end of the connection to the owner."""
+        if self._taken_bytes:
+            self._hooks.take_memory(-self._taken_bytes)
+            self._taken_bytes = 0
         self._phase = _Phase.CLOSED
         self._timeout.cancel()
         self._send_buffer.clear()
--- a/azurepier/wire/_sockets.py
+++ b/azurepier/wire/_sockets.py
@@ -14,6 +14,9 @@
 # Accepted connections that have not completed the handshake. Limits the
 # resources that peers without a key can use.
 MAX_HANDSHAKES = 512
+# Connections that are accepted in one iteration of the event loop, before
+# those above a limit are closed; bounds the open descriptors meanwhile.
+ACCEPTED_AT_ONCE = 16
 # Time after which another attempt to connect is made (s).
 DIAL_INTERVAL_S = 0.3
 
@@ -104,7 +107,11 @@
     """
     loop = asyncio.get_running_loop()
     listener = Listener(hooks, **limits)
-    listener.server = await loop.create_server(listener.accept, sock=sock)
+    listener.server = await loop.create_server(
+        listener.accept, sock=sock, backlog=ACCEPTED_AT_ONCE
+    )
+    # The number above also shortens the kernel's queue.
+    sock.listen(_addresses.BACKLOG)
     return listener
 
 
--- a/azurepier/wire/tests/test_connection.py
+++ b/azurepier/wire/tests/test_connection.py
@@ -223,6 +223,35 @@
             await until(lambda: a.disconnected)
         assert 'unsent' in a.disconnected[0]
 
+    @in_loop
+    async def test_incomplete_messages_of_all_connections(self):
+        """Guards against peers whose messages together take all memory."""
+        a, b = RecordingProcess('a'), RecordingProcess('b')
+        taken = [0]
+
+        def take_memory(count):
+            if taken[0] + count > 1_000_000:
+                return False
+            taken[0] += count
+            return True
+
+        b.hooks = attrs.evolve(b.hooks, take_memory=take_memory)
+        update = messages.ConfigUpdate(version=1, base=0, body=b'x' * 900_000)
+        async with connected(a, b) as (conn, _):
+            conn.send(update)
+            await until(lambda: b.messages == [update] and not taken[0])
+            conn._transport.write(wire.encode(update)[:-1])
+            await until(lambda: taken[0] > 800_000)
+            other = RecordingProcess('c')
+            address = '%s:%d' % conn._transport.get_extra_info('peername')
+            second = await wire.dial(address, other.hooks)
+            await until(lambda: other.connected)
+            second._transport.write(wire.encode(update)[:-1])
+            await until(lambda: b.disconnected)
+            assert len(a.disconnected) == 0
+        assert 'no memory' in b.disconnected[0]
+        assert taken == [0]
+
     @in_loop
     async def test_malformed_frame_ends_the_connection(self):
         """After a malformed frame, no further data may be interpreted."""
