--- a/azurepier/daemon/_web.py
+++ b/azurepier/daemon/_web.py
@@ -7,6 +7,7 @@
 import attrs
 import uvicorn
 
+from azurepier.daemon import _http_port
 from azurepier.daemon import _http_server
 from azurepier.daemon import _limits
 from azurepier.kernel import AzurepierError
@@ -55,7 +56,7 @@
         app,
         loop='asyncio',
         http=functools.partial(
-            _http_server.BoundedProtocol, _http_server.Port(limits, 'web')
+            _http_server.BoundedProtocol, _http_port.Port(limits, 'web')
         ),
         ws='none',
         lifespan='on',
--- a/azurepier/daemon/tests/test_http_server.py
+++ b/azurepier/daemon/tests/test_http_server.py
@@ -6,6 +6,7 @@
 import pytest
 import uvicorn
 
+from azurepier.daemon import _http_port
 from azurepier.daemon import _http_server
 from azurepier.daemon import _limits
 
@@ -46,7 +47,7 @@
     cfg = uvicorn.Config(_app, lifespan='off', log_config=None)
     cfg.load()
     server = uvicorn.Server(cfg)
-    port = _http_server.Port(limits, 'test')
+    port = _http_port.Port(limits, 'test')
     listener = await asyncio.get_running_loop().create_server(
         lambda: _http_server.BoundedProtocol(
             port, config=cfg, server_state=server.server_state, app_state={}
