Cover each connection by a deadline that fits what it does

One function now puts a connection under the deadline of a header section, a body or the next request, or under none while a complete request is answered. A status is sent only if no complete request is open. Memory is returned with an early answer. A check that comes late expires nothing. Bodies have a deadline of their own, since the operator's is for headers. Without shared memory an incomplete request gets 503, which is true, in place of a closed connection. The kernel's receive buffer, 16 KB in place of 64 KB, counts in the memory of a connection.

--- a/azurepier/daemon/_http_port.py
+++ b/azurepier/daemon/_http_port.py
@@ -22,9 +22,9 @@
     waiting : dict
         Connections that have no request in progress, as keys, in the order in
         which they began to wait; with the time of that (s).
-    receiving, unread : dict
-        The same of connections that send a request, and of those that don't
-        read their answers.
+    receiving, receiving_body, unread : dict
+        The same of connections that send a header section, of those that send
+        a body, and of those that don't read their answers.
     """
 
     def __init__(self, limits, name, share=1.0):
@@ -34,14 +34,16 @@
         self.connections = 0
         self.waiting = {}
         self.receiving = {}
+        self.receiving_body = {}
         self.unread = {}
         self._loop = asyncio.get_running_loop()
+        self._swept_at = self._loop.time()
         self._loop.call_later(_limits.SWEEP_INTERVAL_S, self._sweep)
 
     def admit(self):
         """Tell whether there is room for another connection.
 
-        One gives way that has been sending a request, or has left answers
+        One is closed that has been sending a request, or has left answers
         unread, for `SLOW_REQUEST_S`, else the one that has waited longest for
         its next request.
         """
@@ -50,9 +52,11 @@
         now = self._loop.time()
         for since, age_s in (
             (self.receiving, _limits.SLOW_REQUEST_S),
+            (self.receiving_body, _limits.SLOW_REQUEST_S),
             (self.unread, _limits.SLOW_REQUEST_S),
             (self.waiting, 0.0),
             (self.receiving, 0.0),
+            (self.receiving_body, 0.0),
         ):
             conn, began_at = next(iter(since.items()), (None, now))
             if conn is not None and now - began_at >= age_s:
@@ -62,10 +66,20 @@
 
     def _sweep(self):
         now = self._loop.time()
+        # After a pause of the process, what has arrived meanwhile is read
+        # before the deadlines count.
+        was_paused = now - self._swept_at > 2 * _limits.SWEEP_INTERVAL_S
+        self._swept_at = now
+        self._loop.call_later(_limits.SWEEP_INTERVAL_S, self._sweep)
+        if not was_paused:
+            self._close_expired(now)
+
+    def _close_expired(self, now):
         requests = self.limits.requests
         for since, limit_s, reason in (
             (self.waiting, requests.idle_timeout_s, 'idle_timeout'),
             (self.receiving, requests.header_timeout_s, 'header_timeout'),
+            (self.receiving_body, _limits.BODY_TIMEOUT_S, 'body_timeout'),
             (self.unread, requests.idle_timeout_s, 'unread_answers'),
         ):
             expired = []
@@ -75,4 +89,3 @@
                 expired.append(conn)
             for conn in expired:
                 conn.close_for(reason)
-        self._loop.call_later(_limits.SWEEP_INTERVAL_S, self._sweep)
--- a/azurepier/daemon/_http_server.py
+++ b/azurepier/daemon/_http_server.py
@@ -29,6 +29,8 @@
     'framing_bytes': b'400 Bad Request',
     'malformed': b'400 Bad Request',
     'header_timeout': b'408 Request Timeout',
+    'body_timeout': b'408 Request Timeout',
+    'memory': b'503 Service Unavailable\r\nretry-after: 1',
 }
 
 
@@ -37,7 +39,7 @@
 
 
 class _Flow(flow_control.FlowControl):
-    """Flow control that the application can't resume at will."""
+    """Flow control that ignores a resume while reading must pause."""
 
     def __init__(self, transport, conn):
         super().__init__(transport)
@@ -89,6 +91,8 @@
         self._framing_since = 0
         self._taken_bytes = 0
         self._unsent_bytes = 0
+        # Whether a part of a request has arrived that isn't complete.
+        self._has_begun = False
         self._upgraded = False
         # Limit that a callback of the parser has found to be exceeded.
         self._exceeded = ''
@@ -122,13 +126,45 @@
         port.limits.used_bytes -= self._taken_bytes + self._unsent_bytes
         self._taken_bytes = self._unsent_bytes = 0
         self._unparsed = b''
-        for since in (port.waiting, port.receiving, port.unread):
+        self._leave()
+        port.unread.pop(self, None)
+
+    def _leave(self):
+        port = self._port
+        for since in (port.waiting, port.receiving, port.receiving_body):
             since.pop(self, None)
 
+    def _track(self):
+        """Put the connection under the deadline of what it does now.
+
+        A complete request has none until it is answered, nor has what arrives
+        meanwhile.
+        """
+        if self._closing or self._upgraded:
+            return
+        port, cycle = self._port, self.cycle
+        is_open = cycle is not None and not cycle.response_complete
+        if self._unparsed or self.pipeline or self.flow.write_paused:
+            since = None
+        elif cycle is not None and not self._in_head:
+            since = port.receiving_body
+        elif is_open:
+            since = None
+        else:
+            # Empty lines don't begin a request for the parser.
+            has_begun = self._has_begun or self._head_bytes > 0
+            since = port.receiving if has_begun else port.waiting
+        if since is None:
+            self._leave()
+        elif self not in since:
+            self._leave()
+            since[self] = self.loop.time()
+
     def close_for(self, reason):
         """Close the connection because it has exceeded a limit.
 
-        The client is told the status if no answer is under way.
+        The client is told the status if no complete request waits for its
+        answer, which the status would seem to be.
         """
         if self._closing:
             return
@@ -143,8 +179,11 @@
                 client=self.client and self.client[0],
             )
         status = _STATUS_BY_REASON.get(reason)
-        idle = self.cycle is None or self.cycle.response_complete
-        may_answer = idle or not (self._in_head or self.cycle.response_started)
+        may_answer = not self.pipeline and (
+            self.cycle is None
+            or self.cycle.response_complete
+            or not (self._in_head or self.cycle.response_started)
+        )
         if self.cycle is not None and not self.cycle.response_complete:
             self.cycle.disconnected = True
             self.cycle.message_event.set()
@@ -182,8 +221,6 @@
             # It was read before reading could be paused.
             self._unparsed += data
             return
-        if self._port.waiting.pop(self, None) is not None:
-            self._port.receiving[self] = self.loop.time()
         # Each request has an empty line. Most reads hold a single one and are
         # parsed at once.
         ends = data.count(b'\n\r\n') + data.count(b'\n\n')
@@ -195,10 +232,11 @@
             if self.pipeline or self.flow.write_paused:
                 self._unparsed = data[start:]
                 self.flow.pause_reading()
-                return
+                break
             self._parse(data[start : start + size])
             if self._closing or self._upgraded:
-                return
+                break
+        self._track()
 
     def _parse(self, data):
         in_head = self._in_head
@@ -239,6 +277,7 @@
     def on_message_begin(self):
         """Start a header section."""
         super().on_message_begin()
+        self._has_begun = True
         self._body_bytes = self._framing_bytes = self._framing_since = 0
 
     def on_header(self, name, value):
@@ -268,7 +307,9 @@
         self._body_bytes += len(body)
         if self._body_bytes > self._port.limits.requests.max_body_bytes:
             self._exceed('body_bytes')
-        if self._body_bytes > _limits.FREE_BYTES:
+        # The rest of a body that was answered already is dropped.
+        is_kept = not self.cycle.response_complete
+        if is_kept and self._body_bytes > _limits.FREE_BYTES:
             # It is copied once when it is complete.
             self._take(2 * len(body))
         super().on_body(body)
@@ -286,31 +327,28 @@
         """End the request; the next bytes are those of another one."""
         super().on_message_complete()
         self._in_head = True
+        self._has_begun = False
+        if self.cycle.response_complete:
+            self._release()
         # What follows in this slice isn't counted, so that a client within
         # the limits is never refused.
         self._head_bytes = -self._slice_bytes
-        self._port.receiving.pop(self, None)
-        if self.cycle is not None and self.cycle.response_complete:
-            self._wait_for_request()
 
-    def _wait_for_request(self):
-        if not self._closing and not self._unparsed:
-            self._port.waiting.setdefault(self, self.loop.time())
+    def _release(self):
+        self._port.limits.used_bytes -= self._taken_bytes
+        self._taken_bytes = 0
 
     def on_response_complete(self):
         """Return the memory of the request, and go on with the next one."""
         self.server_state.total_requests += 1
-        if self._taken_bytes:
-            self._port.limits.used_bytes -= self._taken_bytes
-            self._taken_bytes = 0
+        self._release()
         if self._closing or self.transport.is_closing():
             return
         # The base class starts a timer for each idle connection; here the
         # deadlines of all connections are checked together.
         if self.pipeline:
             self._start_asgi_task(*self.pipeline.pop())
-        elif self._in_head:
-            self._wait_for_request()
+        self._track()
         self._go_on()
 
     def pause_writing(self):
@@ -319,6 +357,7 @@
         if self._closing:
             return
         self.flow.pause_reading()
+        self._leave()
         self._port.unread[self] = self.loop.time()
         unsent = self.transport.get_write_buffer_size()
         if unsent <= _limits.FREE_BYTES:
@@ -335,6 +374,7 @@
         self._port.unread.pop(self, None)
         self._port.limits.used_bytes -= self._unsent_bytes
         self._unsent_bytes = 0
+        self._track()
         self._go_on()
 
     def _go_on(self):
--- a/azurepier/daemon/_limits.py
+++ b/azurepier/daemon/_limits.py
@@ -18,9 +18,10 @@
 # its links. At least `MIN_CLIENT_MB` are left for clients.
 BASE_MEMORY_MB = 56
 MIN_CLIENT_MB = 8
-# Memory of a connection: its objects, one request with a small body, and a
-# read that waits (bytes).
-CONNECTION_BYTES = 32 * 1024
+# Memory of a connection (bytes): 32 KB for its objects, one request with a
+# small body, and a read that waits, and as much for the kernel's receive
+# buffer, which is full while a paused connection isn't read.
+CONNECTION_BYTES = 64 * 1024
 # Descriptors for logs, listening sockets, the store and the worker.
 BASE_FDS = 32
 # Size of one read (bytes). What was read but not parsed is kept while reading
@@ -37,15 +38,18 @@
 FREE_BYTES = 8 * 1024
 # Chunks of a body may be as small as one byte, which takes six.
 MAX_FRAMING_FACTOR = 8
-# Receive and send buffers of the kernel for each connection (bytes). They
-# hold an ordinary request or answer; without a limit the kernel lets them
-# grow to megabytes, which count towards the memory of a machine.
-SOCKET_BUFFER_BYTES = 64 * 1024
+# Receive and send buffers of the kernel for each connection (bytes), of which
+# it allocates up to twice as much. They hold an ordinary request or answer;
+# without a limit the kernel lets them grow to megabytes, which count towards
+# the memory of a machine.
+SOCKET_BUFFER_BYTES = 16 * 1024
 # Headers of a request; each takes 130 bytes beyond its own.
 MAX_HEADERS = 256
 # A connection that is receiving a request for this time gives way to a new
 # one (s); ordinary requests arrive within milliseconds.
 SLOW_REQUEST_S = 1.0
+# Time to send the body of a request (s), also over a link that loses packets.
+BODY_TIMEOUT_S = 30.0
 # Connections that are accepted at a time, before those that are too many are
 # closed. `BASE_FDS` has room for them.
 ACCEPTED_AT_ONCE = 16
@@ -61,7 +65,7 @@
     max_header_bytes: int = 16_384
     # The limit of the platform.
     max_body_bytes: int = 262_144
-    # Time to send a request (s), also over a link that loses packets.
+    # Time to send the header section of a request (s).
     header_timeout_s: float = 30.0
     # Callers and balancers reuse connections that were idle for a minute (s).
     idle_timeout_s: float = 75.0
