--- /dev/null
+++ b/azurepier/daemon/_http_server.py
@@ -0,0 +1,396 @@
+"""HTTP protocol of the server that bounds what a connection can take.
+
+uvicorn parses all that has arrived, and keeps each request until those before
+it are answered; its parser keeps a header until its end. This protocol parses
+little at a time, stops reading while answers wait to be sent or requests wait
+for their turn, and closes the connections that exceed a limit. Bytes, not
+requests, are counted where that suffices, so that an ordinary request costs
+some comparisons.
+"""
+
+import asyncio
+import socket
+
+import httptools
+from uvicorn.protocols.http import flow_control
+from uvicorn.protocols.http import httptools_impl
+
+from azurepier.daemon import _limits
+from azurepier.daemon import _logs
+
+_log = _logs.EventLog('azurepier')
+# All connections of a process share one receive buffer: the event loop calls
+# `buffer_updated` immediately after it has filled the buffer.
+_receive_buffer = memoryview(bytearray(_limits.READ_BYTES))
+_ANSWER = b'HTTP/1.1 %b\r\ncontent-length: 0\r\nconnection: close\r\n\r\n'
+_STATUS_BY_REASON = {
+    'header_bytes': b'431 Request Header Fields Too Large',
+    'body_bytes': b'413 Content Too Large',
+    'framing_bytes': b'400 Bad Request',
+    'malformed': b'400 Bad Request',
+    'header_timeout': b'408 Request Timeout',
+    'body_timeout': b'408 Request Timeout',
+    'memory': b'503 Service Unavailable\r\nretry-after: 1',
+}
+
+
+class _ExceededError(Exception):
+    """A limit was exceeded; stops the parser."""
+
+
+class _Flow(flow_control.FlowControl):
+    """Flow control that ignores a resume while reading must pause."""
+
+    def __init__(self, transport, conn):
+        super().__init__(transport)
+        self._conn = conn
+
+    def pause_reading(self):
+        if not self.read_paused:
+            super().pause_reading()
+            self._conn.on_reading_paused()
+
+    def resume_reading(self):
+        if self.read_paused and self._conn.may_read():
+            super().resume_reading()
+            self._conn.on_reading_resumed()
+
+
+def prepare_socket(sock):
+    """Bound the kernel's buffers of the connections of a listening socket."""
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        sock.setsockopt(socket.SOL_SOCKET, option, _limits.SOCKET_BUFFER_BYTES)
+
+
+class BoundedProtocol(
+    httptools_impl.HttpToolsProtocol, asyncio.BufferedProtocol
+):
+    """Protocol of one connection.
+
+    Parameters
+    ----------
+    port : azurepier.daemon._http_port.Port
+    **kwargs
+        Those of the base class.
+    """
+
+    def __init__(self, port, **kwargs):
+        super().__init__(**kwargs)
+        self._port = port
+        self._admitted = False
+        self._closing = False
+        # Bytes that were read but not parsed.
+        self._unparsed = b''
+        # Whether the parser is in a header section, and the bytes of it that
+        # were parsed.
+        self._in_head = True
+        self._head_bytes = 0
+        self._slice_bytes = 0
+        self._body_bytes = 0
+        self._framing_bytes = 0
+        self._framing_since = 0
+        self._taken_bytes = 0
+        self._unsent_bytes = 0
+        # Whether a part of a request has arrived that isn't complete.
+        self._has_begun = False
+        self._upgraded = False
+        # Limit that a callback of the parser has found to be exceeded.
+        self._exceeded = ''
+
+    def connection_made(self, transport):
+        """Admit the connection, or close it if there are too many."""
+        super().connection_made(transport)
+        self.flow = _Flow(transport, self)
+        port = self._port
+        if not port.admit():
+            self.close_for('connections')
+            return
+        self._admitted = True
+        port.connections += 1
+        # Any unsent byte pauses reading.
+        transport.set_write_buffer_limits(high=0)
+        port.waiting[self] = self.loop.time()
+
+    def connection_lost(self, exc):
+        """Return what the connection has taken."""
+        self._forget()
+        self.pipeline.clear()
+        super().connection_lost(exc)
+
+    def _forget(self):
+        port = self._port
+        self._closing = True
+        if self._admitted:
+            self._admitted = False
+            port.connections -= 1
+        port.limits.used_bytes -= self._taken_bytes + self._unsent_bytes
+        self._taken_bytes = self._unsent_bytes = 0
+        self._unparsed = b''
+        self._leave()
+        port.unread.pop(self, None)
+
+    def _leave(self):
+        port = self._port
+        for since in (port.waiting, port.receiving, port.receiving_body):
+            since.pop(self, None)
+
+    def _track(self):
+        """Put the connection under the deadline of what it does now.
+
+        A complete request has none until it is answered, nor has what arrives
+        meanwhile.
+        """
+        if self._closing or self._upgraded:
+            return
+        port, cycle = self._port, self.cycle
+        is_open = cycle is not None and not cycle.response_complete
+        if self._unparsed or self.pipeline or self.flow.write_paused:
+            since = None
+        elif cycle is not None and not self._in_head:
+            since = port.receiving_body
+        elif is_open:
+            since = None
+        else:
+            # Empty lines don't begin a request for the parser.
+            has_begun = self._has_begun or self._head_bytes > 0
+            since = port.receiving if has_begun else port.waiting
+        if since is None:
+            self._leave()
+        elif self not in since:
+            self._leave()
+            since[self] = self.loop.time()
+
+    def close_for(self, reason):
+        """Close the connection because it has exceeded a limit.
+
+        The client is told the status if no complete request waits for its
+        answer, which the status would seem to be.
+        """
+        if self._closing:
+            return
+        self._forget()
+        closed = self._port.limits.closed
+        closed[reason] = closed.get(reason, 0) + 1
+        if reason != 'idle_timeout':
+            _log.warning(
+                'client_closed',
+                reason=reason,
+                port=self._port.name,
+                client=self.client and self.client[0],
+            )
+        status = _STATUS_BY_REASON.get(reason)
+        may_answer = not self.pipeline and (
+            self.cycle is None
+            or self.cycle.response_complete
+            or not (self._in_head or self.cycle.response_started)
+        )
+        if self.cycle is not None and not self.cycle.response_complete:
+            self.cycle.disconnected = True
+            self.cycle.message_event.set()
+        if status and may_answer and not self.flow.write_paused:
+            self.transport.write(_ANSWER % status)
+            # Unsent bytes would keep the connection open.
+            if not self.transport.get_write_buffer_size():
+                self.transport.close()
+                return
+        self.transport.abort()
+
+    def on_reading_paused(self):
+        """React to a pause of reading."""
+
+    def on_reading_resumed(self):
+        """React to the end of a pause."""
+
+    def may_read(self):
+        """Tell whether neither answers nor requests wait."""
+        return not (self._unparsed or self.pipeline or self.flow.write_paused)
+
+    def get_buffer(self, sizehint):
+        """Return the buffer for received bytes."""
+        return _receive_buffer
+
+    def buffer_updated(self, nbytes):
+        """Parse received bytes."""
+        self.data_received(bytes(_receive_buffer[:nbytes]))
+
+    def data_received(self, data):
+        """Parse data, as far as the limits allow."""
+        if self._closing or self._upgraded:
+            return
+        if self._unparsed:
+            # It was read before reading could be paused.
+            self._unparsed += data
+            return
+        # Each request has an empty line. Most reads hold a single one and are
+        # parsed at once.
+        ends = data.count(b'\n\r\n') + data.count(b'\n\n')
+        size = _limits.PARSE_BYTES
+        if ends <= _limits.MAX_REQUESTS_AHEAD:
+            size = _limits.READ_BYTES
+        for start in range(0, len(data), size):
+            # An open request goes on before further ones are parsed.
+            if self.pipeline or self.flow.write_paused:
+                self._unparsed = data[start:]
+                self.flow.pause_reading()
+                break
+            self._parse(data[start : start + size])
+            if self._closing or self._upgraded:
+                break
+        self._track()
+
+    def _parse(self, data):
+        in_head = self._in_head
+        body_bytes = self._body_bytes
+        self._slice_bytes = len(data)
+        self._framing_since += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # The client may not go on in another protocol.
+            self._upgraded = True
+            if self.cycle is not None:
+                self.cycle.keep_alive = False
+            self.flow.pause_reading()
+            return
+        except httptools.HttpParserError:
+            self.close_for(self._exceeded or 'malformed')
+            return
+        requests = self._port.limits.requests
+        if self._in_head:
+            # Empty lines and headers that the parser keeps until their end.
+            if in_head:
+                self._head_bytes += len(data)
+            if self._head_bytes > requests.max_header_bytes:
+                self.close_for('header_bytes')
+            return
+        if in_head or self._body_bytes > body_bytes:
+            self._framing_since = 0
+        elif self._framing_since > requests.max_header_bytes:
+            # Trailers and chunk extensions.
+            self.close_for('header_bytes')
+            return
+        self._framing_bytes += len(data)
+        limit = requests.max_body_bytes * _limits.MAX_FRAMING_FACTOR
+        if self._framing_bytes > limit:
+            self.close_for('framing_bytes')
+
+    def on_message_begin(self):
+        """Start a header section."""
+        super().on_message_begin()
+        self._has_begun = True
+        self._body_bytes = self._framing_bytes = self._framing_since = 0
+
+    def on_header(self, name, value):
+        """Keep a header; trailers are dropped."""
+        if self._in_head:
+            if len(self.headers) >= _limits.MAX_HEADERS:
+                self._exceed('header_bytes')
+            super().on_header(name, value)
+
+    def on_headers_complete(self):
+        """Start the request."""
+        self._in_head = False
+        limit = self._port.limits.requests.max_header_bytes
+        parsed = max(self._head_bytes, 0) + self._slice_bytes
+        if parsed > min(limit, _limits.FREE_BYTES):
+            size = len(self.url)
+            for name, value in self.headers:
+                size += len(name) + len(value) + 4
+            if size > limit:
+                self._exceed('header_bytes')
+            if size > _limits.FREE_BYTES:
+                self._take(size)
+        super().on_headers_complete()
+
+    def on_body(self, body):
+        """Keep a part of a body."""
+        self._body_bytes += len(body)
+        if self._body_bytes > self._port.limits.requests.max_body_bytes:
+            self._exceed('body_bytes')
+        # The rest of a body that was answered already is dropped.
+        is_kept = not self.cycle.response_complete
+        if is_kept and self._body_bytes > _limits.FREE_BYTES:
+            # It is copied once when it is complete.
+            self._take(2 * len(body))
+        super().on_body(body)
+
+    def _exceed(self, reason):
+        self._exceeded = reason
+        raise _ExceededError(reason)
+
+    def _take(self, count):
+        if not self._port.limits.take(count):
+            self._exceed('memory')
+        self._taken_bytes += count
+
+    def on_message_complete(self):
+        """End the request; the next bytes are those of another one."""
+        super().on_message_complete()
+        self._in_head = True
+        self._has_begun = False
+        if self.cycle.response_complete:
+            self._release()
+        # What follows in this slice isn't counted, so that a client within
+        # the limits is never refused.
+        self._head_bytes = -self._slice_bytes
+
+    def _release(self):
+        self._port.limits.used_bytes -= self._taken_bytes
+        self._taken_bytes = 0
+
+    def on_response_complete(self):
+        """Return the memory of the request, and go on with the next one."""
+        self.server_state.total_requests += 1
+        self._release()
+        if self._closing or self.transport.is_closing():
+            return
+        # The base class starts a timer for each idle connection; here the
+        # deadlines of all connections are checked together.
+        if self.pipeline:
+            self._start_asgi_task(*self.pipeline.pop())
+        self._track()
+        self._go_on()
+
+    def pause_writing(self):
+        """Stop reading while an answer waits to be sent."""
+        super().pause_writing()
+        if self._closing:
+            return
+        self.flow.pause_reading()
+        self._leave()
+        self._port.unread[self] = self.loop.time()
+        unsent = self.transport.get_write_buffer_size()
+        if unsent <= _limits.FREE_BYTES:
+            return
+        if self._port.limits.take(unsent):
+            self._unsent_bytes = unsent
+        else:
+            # The transport calls this within a write.
+            self.loop.call_soon(self.close_for, 'memory')
+
+    def resume_writing(self):
+        """Go on reading."""
+        super().resume_writing()
+        self._port.unread.pop(self, None)
+        self._port.limits.used_bytes -= self._unsent_bytes
+        self._unsent_bytes = 0
+        self._track()
+        self._go_on()
+
+    def _go_on(self):
+        """Parse what waits, unless a request or an answer is before it."""
+        if self._closing or self.transport.is_closing():
+            return
+        if self._unparsed:
+            self.loop.call_soon(self._parse_waiting)
+        else:
+            self.flow.resume_reading()
+
+    def _parse_waiting(self):
+        if self._closing or self.flow.write_paused or self.pipeline:
+            return
+        data, self._unparsed = self._unparsed, b''
+        if data:
+            self.data_received(data)
+            if not self._unparsed:
+                self._go_on()
