--- a/tests/adapter/mixed_fleet/_builds.py
+++ b/tests/adapter/mixed_fleet/_builds.py
@@ -32,7 +32,7 @@
     'files': [adapter.__file__, azurepier.__file__],
 }}), flush=True)
 import run
-run.main(sys.argv[1])
+run.main(*sys.argv[1:])
 '''
 
 
@@ -52,11 +52,14 @@
         Abbreviated hash; '+' is appended if the sources were changed.
     root : pathlib.Path
         Folder with the sources.
+    policy : tuple of str
+        Path of the file with the optional parts in use, if there is one.
     """
 
     name: str
     commit: str
     root: pathlib.Path
+    policy: tuple = ()
 
     @property
     def knows_evacuations(self):
@@ -131,7 +134,7 @@
     place of the build's.
     """
     return subprocess.Popen(
-        [sys.executable, '-S', '-c', _LAUNCHER, role],
+        [sys.executable, '-S', '-c', _LAUNCHER, role, *build.policy],
         cwd=build.root,
         env={
             **os.environ,
--- a/tests/adapter/process_soak.py
+++ b/tests/adapter/process_soak.py
@@ -1,7 +1,8 @@
 """Random faults of real processes at the size of a deployment.
 
 Run by hand with the numbers of entries, endpoint processes and callers, the
-seconds and a first and last seed; ``--commit`` plays an earlier build:
+seconds and a first and last seed; ``--commit`` plays an earlier build,
+``--policy`` with the optional parts in a file:
 ``python tests/adapter/process_soak.py --size 12 68 24 --seconds 40 1 50``.
 
 Signals, returns of workers, heartbeats of another program, closed connections
@@ -212,7 +213,7 @@
     return record, soak.fault_counts
 
 
-def run(folder, size, seconds, seed, interval_s=0.3, commit=None):
+def run(folder, size, seconds, seed, interval_s=0.3, commit=None, policy=None):
     """Play faults for some time (s); return the record and their numbers.
 
     Parameters
@@ -227,8 +228,12 @@
         Mean time between the beginnings of two faults (s).
     commit : str, optional
         Commit that is played instead of the working copy.
+    policy : str, optional
+        File with the optional parts in use; none are in use without it.
     """
     build = _builds.extract(commit) if commit else _builds.working_copy()
+    if policy:
+        build = attrs.evolve(build, policy=(str(policy),))
     return asyncio.run(_run(folder, size, seconds, seed, interval_s, build))
 
 
@@ -239,6 +244,7 @@
     parser.add_argument('--seconds', type=float, default=30.0)
     parser.add_argument('--interval', type=float, default=0.3)
     parser.add_argument('--commit')
+    parser.add_argument('--policy')
     parser.add_argument('first', type=int)
     parser.add_argument('last', type=int)
     args = parser.parse_args()
@@ -248,7 +254,13 @@
     for seed in range(args.first, args.last + 1):
         folder = pathlib.Path(tempfile.mkdtemp(prefix='process_soak.'))
         record, faults = run(
-            folder, args.size, args.seconds, seed, args.interval, args.commit
+            folder,
+            args.size,
+            args.seconds,
+            seed,
+            args.interval,
+            args.commit,
+            args.policy,
         )
         broken += bool(record.violations)
         outcomes = collections.Counter(
--- a/tests/adapter/test_process_soak.py
+++ b/tests/adapter/test_process_soak.py
@@ -12,3 +12,15 @@
         assert record.violations == []
         assert record.ended['done'] > 100
         assert faults['return_worker'] and faults['send_foreign_heartbeat']
+
+    def test_with_the_optional_parts(self, tmp_path):
+        """Guards against the same with orders that wait for capacity."""
+        policy = tmp_path / 'dispatch.toml'
+        policy.write_text(
+            '[waiting_orders]\n[endpoint_arrival]\n[urgent_reserve]\n'
+        )
+        record, _ = process_soak.run(
+            tmp_path, (3, 6, 8), 12.0, 3, policy=policy
+        )
+        assert record.violations == []
+        assert record.ended['done'] > 100
