Let whole processes on virtual time start with the limits again

Cause: the tests that run entries on virtual time wrap `make_shell(module, node)`, and their listening socket had neither `setsockopt` nor `listen`.

The other tests on virtual time are not run yet on this commit.

--- a/azurepier/testing/_virtual_loop.py
+++ b/azurepier/testing/_virtual_loop.py
@@ -76,6 +76,12 @@
     host: str
     port: int
 
+    def setsockopt(self, *args):
+        """Do nothing: the kernel's buffers aren't modelled."""
+
+    def listen(self, backlog):
+        """Do nothing: connections don't queue."""
+
     def getsockname(self):
         """Return host and port."""
         return self.host, self.port
