--- a/azurepier/daemon/_http_server.py
+++ b/azurepier/daemon/_http_server.py
@@ -225,7 +225,7 @@
         # parsed at once.
         ends = data.count(b'\n\r\n') + data.count(b'\n\n')
         size = _limits.PARSE_BYTES
-        if ends <= _limits.MAX_REQUESTS_AHEAD:
+        if ends <= _limits.EMPTY_LINES_AT_ONCE:
             size = _limits.READ_BYTES
         for start in range(0, len(data), size):
             # An open request goes on before further ones are parsed.
--- a/azurepier/daemon/_limits.py
+++ b/azurepier/daemon/_limits.py
@@ -27,11 +27,11 @@
 # Size of one read (bytes). What was read but not parsed is kept while reading
 # pauses.
 READ_BYTES = 16 * 1024
-# Bytes that are parsed at a time if a read may hold more than this number of
-# requests. These take at least 16 bytes, so that at most 32 requests are
-# parsed ahead while an earlier one is open.
+# Bytes that are parsed at a time if a read has more than this number of empty
+# lines, of which each request has one. Requests take at least 16 bytes, so
+# that at most 32 are parsed ahead while an earlier one is open.
 PARSE_BYTES = 512
-MAX_REQUESTS_AHEAD = 4
+EMPTY_LINES_AT_ONCE = 4
 # Bytes of a request or of unread answers that a connection may keep without
 # taking from the memory that all connections share; a job has up to 4,000
 # bytes of `spec`.
--- a/azurepier/dispatch/tests/test_mechanisms.py
+++ b/azurepier/dispatch/tests/test_mechanisms.py
@@ -401,7 +401,7 @@
 
 
 def _start_for_silent_entries(patch):
-    patch.setattr(_waiting, 'is_heard', lambda link, now: True)
+    patch.setattr(_waiting, 'is_link_alive', lambda link, now: True)
 
 
 def _refuse_without_capacity(patch):
--- a/azurepier/runner/_orders.py
+++ b/azurepier/runner/_orders.py
@@ -132,7 +132,7 @@
             entry.expected_at = now + start
         if start == 0 and _capacity.fits(node, entry.order):
             out += _start_waiting(node, entry, now)
-        elif _waiting.is_hopeless(entry, start, now):
+        elif _waiting.will_expire(entry, start, now):
             _waiting.refuse(node, entry, NO_ROOM, now)
     return out
 
@@ -156,7 +156,7 @@
 
 def _start_waiting(node, entry, now):
     order, link = entry.order, entry.link
-    if not _waiting.is_heard(link, now):
+    if not _waiting.is_link_alive(link, now):
         return []
     # The start of another order may rule this one out.
     reason = _waiting_refusal_reason(node, entry, now)
--- a/azurepier/runner/_waiting.py
+++ b/azurepier/runner/_waiting.py
@@ -151,12 +151,12 @@
     return out
 
 
-def is_hopeless(entry, start, now):
+def will_expire(entry, start, now):
     """Tell whether an order isn't expected to start before its wait ends."""
     return start is None or now + start > entry.ends_at + TOLERANCE_S
 
 
-def is_heard(link, now):
+def is_link_alive(link, now):
     """Tell whether an entry was heard recently enough for a start.
 
     The end of a silent connection is noticed with the next heartbeat only. A
--- a/azurepier/testing/__init__.py
+++ b/azurepier/testing/__init__.py
@@ -1,5 +1,7 @@
 """Simulation of nodes on virtual time, for tests and benchmarks."""
 
+from azurepier.testing._calls import queue
+from azurepier.testing._calls import task_names
 from azurepier.testing._checks import check_job
 from azurepier.testing._checks import check_no_double_start
 from azurepier.testing._driver import Driver
@@ -18,8 +20,6 @@
 from azurepier.testing._load import slow_down
 from azurepier.testing._pool import make_pool
 from azurepier.testing._pool import PoolFleet
-from azurepier.testing._pool import queue
-from azurepier.testing._pool import task_names
 from azurepier.testing import _return as returns
 from azurepier.testing import _scale as scale
 from azurepier.testing import _virtual_loop as virtual_loop
--- a/azurepier/testing/_pool.py
+++ b/azurepier/testing/_pool.py
@@ -9,6 +9,7 @@
 from azurepier.kernel import events
 from azurepier import membership
 from azurepier import runner
+from azurepier.testing import _calls
 from azurepier.testing import _driver
 from azurepier.testing import _ledger
 from azurepier.testing import _worker
@@ -32,48 +33,6 @@
     grace_s: float = GRACE_S
 
 
-def queue(name='q', max_attempts=3, stretch=1.6, margin_s=0.06, priority=0):
-    """Return a queue of the simulated pool."""
-    return dispatch.Queue(
-        name=name,
-        pool='pool',
-        priority=priority,
-        max_attempts=max_attempts,
-        stretch=stretch,
-        margin_s=margin_s,
-    )
-
-
-@attrs.define(eq=False)
-class Call:
-    """Job of a caller, with all its submissions until the final answer.
-
-    Attributes
-    ----------
-    body : object or None
-        The final answer.
-    submissions : int
-        Number of submissions so far.
-    started_before : int
-        Number of starts of the job's tasks before the current submission.
-    abandoned : bool
-        Whether the caller no longer submits the job.
-    """
-
-    job: object
-    queue: object
-    sent_at: float
-    entry: str
-    req: int = 0
-    body: object = None
-    answered_at: float | None = None
-    submissions: int = 0
-    started_before: int = 0
-    abandoned: bool = False
-    # Time for which the request waited for the configuration (s).
-    waited_s: float = 0.0
-
-
 @attrs.define(eq=False, repr=False)
 class PoolFleet:
     """Entries, endpoint processes, workers and callers.
@@ -166,7 +125,7 @@
         """Pass the store's contents to an entry, then waiting requests."""
         process = self.entries[name]
         self.read_evacuations(process)
-        routing = dispatch.Routing(1, {('h', '/q/'): queue()})
+        routing = dispatch.Routing(1, {('h', '/q/'): _calls.queue()})
         self.driver.feed(process, dispatch.RoutingLoaded(routing))
         for arrived_at, call in self.unconfigured.pop(name, ()):
             call.waited_s = self.driver.now - arrived_at
@@ -284,9 +243,12 @@
             max_per_worker=options.get('max_per_worker', 0),
         )
         for index in options.get('deadly', ()):
-            self.deadly[task_names(job)[index]] = CRASH_DELAY_S
-        call = Call(
-            job, options.get('queue', queue()), self.driver.now, entry or ''
+            self.deadly[_calls.task_names(job)[index]] = CRASH_DELAY_S
+        call = _calls.Call(
+            job,
+            options.get('queue', _calls.queue()),
+            self.driver.now,
+            entry or '',
         )
         self.calls.append(call)
         self._send(call)
@@ -368,17 +330,14 @@
             if self._count_starts(call) > call.started_before:
                 self.wrong_answers.append(call)
         elif getattr(body, 'succeeded', False):
-            if not all(map(self.ledger.done.get, task_names(call.job))):
+            if not all(map(self.ledger.done.get, _calls.task_names(call.job))):
                 self.wrong_answers.append(call)
 
     def _count_starts(self, call):
         started = self.ledger.started
-        return sum(started.get(name, 0) for name in task_names(call.job))
-
-
-def task_names(job):
-    """Return the names of a job's tasks."""
-    return [f'{job.id}.0.0.{index}' for index in range(job.count)]
+        return sum(
+            started.get(name, 0) for name in _calls.task_names(call.job)
+        )
 
 
 def make_pool(
--- a/azurepier/testing/_return.py
+++ b/azurepier/testing/_return.py
@@ -7,8 +7,8 @@
 
 from azurepier import dispatch
 from azurepier import runner
+from azurepier.testing import _calls
 from azurepier.testing import _ledger
-from azurepier.testing import _pool
 
 # Time from the loss to the return of the first process (s); callers whose
 # connection broke have submitted their jobs again by then.
@@ -239,7 +239,7 @@
     def objective_s(call):
         longest = max(
             _ledger.run_time_factor(name, fleet.uneven)
-            for name in _pool.task_names(call.job)
+            for name in _calls.task_names(call.job)
         )
         work_s = fleet.work_by_spec[call.job.spec][0] * longest
         return call.queue.stretch * work_s + call.queue.margin_s
