--- a/tests/adapter/crowd.py
+++ b/tests/adapter/crowd.py
@@ -5,6 +5,7 @@
 its memory has grown beyond the bound already.
 """
 
+import http.client
 import json
 import os
 import pathlib
@@ -29,6 +30,7 @@
 _POLL_INTERVAL_S = 0.02
 _LOCAL_ADDRESS = '127.0.0.1:0'
 MB = 1024 * 1024
+SMALLEST_MACHINE_MB = 160
 
 _SETTINGS = '''
 node_name = "{role}-5"
@@ -97,10 +99,15 @@
         """End the process."""
         self.child.kill()
         self.child.wait()
+        if self.child.stdout is not None:
+            self.child.stdout.close()
 
 
-def _spawn(args, log_path, max_fds, **options):
-    """Start a process whose soft limit of descriptors is `max_fds`."""
+def spawn(args, log_path, max_fds, output=None, **options):
+    """Start a process whose soft limit of descriptors is `max_fds`.
+
+    Its output goes to a file unless `output` is set.
+    """
 
     def lower_limit():
         _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -110,7 +117,7 @@
         return subprocess.Popen(
             [sys.executable, *args],
             cwd=ROOT,
-            stdout=log,
+            stdout=log if output is None else output,
             stderr=log,
             preexec_fn=lower_limit,
             **options,
@@ -132,7 +139,7 @@
     )
     # Without a bound of its own the kernel's limit of descriptors would hide
     # that the settings are not in force.
-    child = _spawn(
+    child = spawn(
         ['platform/run.py', role],
         folder / f'{role}.log',
         max_fds * 4,
@@ -155,7 +162,7 @@
         ''.join(f'{key} = {json.dumps(v)}\n' for key, v in values.items())
     )
     command = pathlib.Path(sys.executable).parent / 'azurepierd'
-    child = _spawn(
+    child = spawn(
         [command, role, path], folder / f'azurepierd-{role}.out', max_fds
     )
     deadline = time.monotonic() + START_TIMEOUT_S
@@ -279,3 +286,11 @@
             pass
         time.sleep(_POLL_INTERVAL_S)
     raise AssertionError(f'no answer of {address}')
+
+
+def read_status(sock):
+    """Read an answer from a socket; return its status."""
+    response = http.client.HTTPResponse(sock)
+    response.begin()
+    response.read()
+    return response.status
--- a/tests/adapter/test_client_limits.py
+++ b/tests/adapter/test_client_limits.py
@@ -27,7 +27,6 @@
 from standins import _server
 
 MEMORY_MB = 96
-SMALLEST_MACHINE_MB = 160
 MAX_FDS = 128
 # Connections of a crowd that offers many bytes, and number of these.
 WIDE = 8
@@ -253,7 +252,9 @@
 
 def check(programs, program, port, case, request, expected):
     """Let a crowd meet a process, and check what must hold."""
-    bound_mb = MEMORY_MB if program.startswith('run') else SMALLEST_MACHINE_MB
+    bound_mb = (
+        MEMORY_MB if program.startswith('run') else crowd.SMALLEST_MACHINE_MB
+    )
     process = programs.get(program)
     address = process.addresses[port]
     socks = []
