--- a/tests/adapter/test_worker_client.py
+++ b/tests/adapter/test_worker_client.py
@@ -297,3 +297,30 @@
             assert worker.worker.started == {}
 
         run_with_worker(play)
+
+
+class TestManyStops:
+    def test_repetitions_are_sent_once(self):
+        """Guards against repeated stops that each open a connection."""
+        requests, answers = HeldRequests(), []
+        client = _workers.WorkerClient(requests, answers.append, None)
+        count = 3 * _workers.MAX_CONCURRENT_STOPS
+        for _ in range(5):
+            for number in range(count):
+                client.stop_run(runner.StopRun('a.0.0.0', number, 1))
+        assert requests.sent == _workers.MAX_CONCURRENT_STOPS
+        while requests.held:
+            requests.answer_all((200, b'{}'), None)
+        assert requests.sent == count
+        assert [each.number for each in answers] == list(range(count))
+
+    def test_unanswered_stop_is_sent_again(self):
+        """Guards against a run that is never stopped."""
+        requests, answers = HeldRequests(), []
+        client = _workers.WorkerClient(requests, answers.append, None)
+        stop = runner.StopRun('a.0.0.0', 1, 1)
+        client.stop_run(stop)
+        requests.answer_all(None, TimeoutError())
+        client.stop_run(stop)
+        assert requests.sent == 2
+        assert [each.confirmed for each in answers] == [False]
