--- a/azurepier/daemon/_limits.py
+++ b/azurepier/daemon/_limits.py
@@ -22,6 +22,10 @@
 # small body, and a read that waits, and as much for the kernel's receive
 # buffer, which is full while a paused connection isn't read.
 CONNECTION_BYTES = 64 * 1024
+# Memory of a task or a run of a job (bytes).
+TASK_BYTES = 1024
+# Tasks that an entry accepts at least: two jobs of the largest size.
+MIN_TASKS = 20_000
 # Descriptors for logs, listening sockets, the store and the worker.
 BASE_FDS = 32
 # Size of one read (bytes). What was read but not parsed is kept while reading
@@ -83,6 +87,8 @@
         Memory for large requests and unread answers of all connections.
     max_inner_connections : int
         Connections of other processes.
+    max_tasks : int
+        Tasks and runs of all jobs together.
     requests : Requests
 
     Attributes
@@ -96,6 +102,7 @@
     max_connections: int
     shared_bytes: int
     max_inner_connections: int
+    max_tasks: int
     requests: Requests = attrs.field(factory=Requests)
     used_bytes: int = 0
     closed: dict = attrs.field(factory=dict)
@@ -122,9 +129,10 @@
 def create(memory_mb=None, max_fds=None):
     """Return the limits of a process.
 
-    Half of the memory for clients is for connections, half is shared by
-    large requests and unread answers. A quarter of the descriptors is for
-    connections of other processes.
+    Two fifths of the memory for clients are for connections, two fifths are
+    shared by large requests and unread answers, and a fifth is for the tasks
+    of jobs. A quarter of the descriptors is for connections of other
+    processes.
 
     Parameters
     ----------
@@ -133,12 +141,14 @@
     """
     fds = min(max_fds or default_fds(), default_fds())
     client_mb = (memory_mb or DEFAULT_MEMORY_MB) - BASE_MEMORY_MB
-    half_bytes = max(client_mb, MIN_CLIENT_MB) * MB // 2
+    fifth_bytes = max(client_mb, MIN_CLIENT_MB) * MB // 5
     inner = max(fds // 4, 8)
     return Limits(
         max_connections=max(
-            min(half_bytes // CONNECTION_BYTES, fds - inner - BASE_FDS), 8
+            min(2 * fifth_bytes // CONNECTION_BYTES, fds - inner - BASE_FDS),
+            8,
         ),
-        shared_bytes=half_bytes,
+        shared_bytes=2 * fifth_bytes,
         max_inner_connections=inner,
+        max_tasks=max(fifth_bytes // TASK_BYTES, MIN_TASKS),
     )
--- a/azurepier/daemon/tests/test_http_server.py
+++ b/azurepier/daemon/tests/test_http_server.py
@@ -62,7 +62,7 @@
 
 def _limits_of(shared_bytes=1_000_000, max_connections=8, **requests):
     return _limits.Limits(
-        max_connections, shared_bytes, 8, _limits.Requests(**requests)
+        max_connections, shared_bytes, 8, 8, _limits.Requests(**requests)
     )
 
 
--- a/azurepier/dispatch/_callers.py
+++ b/azurepier/dispatch/_callers.py
@@ -1,4 +1,11 @@
-"""Submission of jobs, and disconnection of callers."""
+"""Submission of jobs, and disconnection of callers.
+
+Load pattern: some callers submit jobs of thousands of tasks in a hundred bytes
+each, or with needs so small that any number fits. Their tasks would take the
+memory that all other jobs need. A job is refused before its tasks are created
+if there are too many, and no endpoint gets more than `MAX_RUNS_PER_ENDPOINT`
+runs of an entry (`azurepier.dispatch._placement`).
+"""
 
 from azurepier.dispatch import _arrival
 from azurepier.dispatch import _cancel
@@ -7,6 +14,7 @@
 from azurepier.dispatch import _drain
 from azurepier.dispatch import _evacuation
 from azurepier.dispatch import _model
+from azurepier.dispatch import _order
 from azurepier.dispatch import _placement
 from azurepier.dispatch import _priority
 from azurepier.dispatch import _runs
@@ -15,6 +23,8 @@
 from azurepier.kernel import effects
 
 MS_PER_S = 1000
+# Resources count CPU in thousandths of a core.
+CPU_PER_CORE = 1000
 IMPOSSIBLE_RETRY_S = 60
 
 
@@ -55,16 +65,19 @@
         work_s,
         received_at + objective_s,
     )
-    job.waiting = [
-        _state.Task(job, index, f'{request.id}.0.0.{index}')
-        for index in reversed(range(request.count))
-    ]
     job.remaining = request.count
     job.started_before = request.id in node.started_jobs
     node.current_job = job
-    _demand.record_arrival(node, job)
-    _priority.record_arrival(node, job)
+    has_room = _has_room(node, request.count)
+    if has_room:
+        job.waiting = [
+            _state.Task(job, index, f'{request.id}.0.0.{index}')
+            for index in reversed(range(request.count))
+        ]
+        _demand.record_arrival(node, job)
+        _priority.record_arrival(node, job)
     node.jobs[request.id] = job
+    node.task_count += request.count
     node.job_by_req.update(dict.fromkeys(reqs, job))
     node.count('jobs')
     node.dirty = True
@@ -82,7 +95,10 @@
             },
         )
     )
-    rejection = _find_rejection(node, job, now)
+    if has_room:
+        rejection = _find_rejection(node, job, now)
+    else:
+        rejection = 'too_many_tasks', _retry_when_fewer_s(node, job)
     if rejection is not None:
         rejected = _model.Rejected(*rejection)
         return out + _runs.finish_job(node, job, rejected, now)
@@ -92,6 +108,27 @@
     return out
 
 
+def _has_room(node, count):
+    """Tell whether this entry may keep so many more tasks."""
+    kept = node.task_count + len(node.run_count_by_task)
+    return kept + count <= node.options.max_tasks
+
+
+def _retry_when_fewer_s(node, job):
+    """Return the Retry-After (s) by the work that waits for the pool."""
+    pool = job.queue.pool
+    work = sum(
+        _order.waiting_work(each)
+        for each in node.jobs.values()
+        if each.queue.pool == pool
+    )
+    cores = sum(
+        each.cpu for each in node.by_conn.values() if each.pool == pool
+    )
+    backlog_s = work * CPU_PER_CORE / max(cores, CPU_PER_CORE)
+    return _order.retry_after_s(backlog_s, node.rng)
+
+
 def _since_pause_ms(node, now):
     """Return the time since the process was last paused (ms), or None."""
     if node.woke_at is None:
--- a/azurepier/dispatch/_placement.py
+++ b/azurepier/dispatch/_placement.py
@@ -9,6 +9,9 @@
 # Number of distinct jobs with failed or stalled tasks, without a success in
 # between, after which an endpoint counts as unhealthy.
 FAILURES_MAX = 2
+# Maximum number of runs of an entry on an endpoint, whatever they need. The
+# worker lists all its runs several times a second.
+MAX_RUNS_PER_ENDPOINT = 512
 # Delay of the messages for the start and the end of a run (s).
 MESSAGE_DELAY_S = 0.02
 # Share of the capacity that is reserved for jobs that can still be answered in
@@ -72,7 +75,10 @@
     """Return why the next task can't start at an open endpoint, or None."""
     resources = job.request.resources
     limit = job.request.max_per_worker
-    if not fits(endpoint, resources):
+    if (
+        not fits(endpoint, resources)
+        or len(endpoint.runs) >= MAX_RUNS_PER_ENDPOINT
+    ):
         return 'no_room'
     if endpoint.name in job.waiting[-1].avoided_endpoints:
         return 'avoided'
--- a/azurepier/dispatch/_runs.py
+++ b/azurepier/dispatch/_runs.py
@@ -283,6 +283,7 @@
     out = stop_runs(node, job)
     job.waiting.clear()
     del node.jobs[job.request.id]
+    node.task_count -= job.request.count
     for req in job.reqs:
         del node.job_by_req[req]
     node.dirty = True
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -27,6 +27,8 @@
         Times of the deployment; its `grace_s` is used.
     policy : Policy
         Optional parts in use.
+    max_tasks : float
+        Maximum number of tasks and of runs of all jobs together.
     """
 
     name: str
@@ -35,6 +37,7 @@
     seeds: tuple
     bounds: object
     policy: object = _policy.Policy()
+    max_tasks: float = math.inf
 
 
 @attrs.define(eq=False, repr=False)
@@ -262,6 +265,8 @@
         Connected endpoints, by connection.
     peers : dict of int to Peer
         Connected entries, by connection.
+    task_count : int
+        Number of tasks of all jobs in `jobs`.
     run_count_by_task : collections.Counter
         Number of runs by task name; includes runs of ended jobs.
     crash_records : OrderedDict of str to Record
@@ -299,6 +304,7 @@
     timers: Timers = attrs.field(factory=Timers)
     jobs: dict = attrs.field(factory=dict)
     job_by_req: dict = attrs.field(factory=dict)
+    task_count: int = 0
     recent_outcomes: collections.OrderedDict = attrs.field(
         factory=collections.OrderedDict
     )
