--- a/azurepier/daemon/_http_server.py
+++ b/azurepier/daemon/_http_server.py
@@ -123,7 +123,7 @@
         if self._admitted:
             self._admitted = False
             port.connections -= 1
-        port.limits.used_bytes -= self._taken_bytes + self._unsent_bytes
+        port.limits.shared.used_bytes -= self._taken_bytes + self._unsent_bytes
         self._taken_bytes = self._unsent_bytes = 0
         self._unparsed = b''
         self._leave()
@@ -319,7 +319,7 @@
         raise _ExceededError(reason)
 
     def _take(self, count):
-        if not self._port.limits.take(count):
+        if not self._port.limits.shared.take(count):
             self._exceed('memory')
         self._taken_bytes += count
 
@@ -335,7 +335,7 @@
         self._head_bytes = -self._slice_bytes
 
     def _release(self):
-        self._port.limits.used_bytes -= self._taken_bytes
+        self._port.limits.shared.used_bytes -= self._taken_bytes
         self._taken_bytes = 0
 
     def on_response_complete(self):
@@ -362,7 +362,7 @@
         unsent = self.transport.get_write_buffer_size()
         if unsent <= _limits.FREE_BYTES:
             return
-        if self._port.limits.take(unsent):
+        if self._port.limits.shared.take(unsent):
             self._unsent_bytes = unsent
         else:
             # The transport calls this within a write.
@@ -372,7 +372,7 @@
         """Go on reading."""
         super().resume_writing()
         self._port.unread.pop(self, None)
-        self._port.limits.used_bytes -= self._unsent_bytes
+        self._port.limits.shared.used_bytes -= self._unsent_bytes
         self._unsent_bytes = 0
         self._track()
         self._go_on()
--- a/azurepier/daemon/_limits.py
+++ b/azurepier/daemon/_limits.py
@@ -24,6 +24,8 @@
 CONNECTION_BYTES = 64 * 1024
 # Memory of a task or a run of a job (bytes).
 TASK_BYTES = 1024
+# Division of the memory for clients.
+_SHARES = {'connections': 0.3, 'requests': 0.3, 'peers': 0.2, 'tasks': 0.2}
 # Tasks that an entry accepts at least: two jobs of the largest size.
 MIN_TASKS = 20_000
 # Descriptors for logs, listening sockets, the store and the worker.
@@ -75,6 +77,29 @@
     idle_timeout_s: float = 75.0
 
 
+@attrs.define(eq=False)
+class Budget:
+    """Memory that several connections share.
+
+    Parameters
+    ----------
+    total_bytes, used_bytes : int
+    """
+
+    total_bytes: int
+    used_bytes: int = 0
+
+    def take(self, count):
+        """Take memory (bytes); return False if there is too little.
+
+        A negative number returns what was taken.
+        """
+        if count > 0 and self.used_bytes + count > self.total_bytes:
+            return False
+        self.used_bytes += count
+        return True
+
+
 @attrs.define(eq=False)
 class Limits:
     """Limits of a process, and what its connections use of them.
@@ -83,8 +108,11 @@
     ----------
     max_connections : int
         HTTP connections of all ports.
-    shared_bytes : int
-        Memory for large requests and unread answers of all connections.
+    shared : Budget
+        Memory for large requests and unread answers of all clients.
+    peers : Budget
+        Memory for incomplete and unsent messages of the connections to other
+        processes, so that clients can't end these.
     max_inner_connections : int
         Connections of other processes.
     max_tasks : int
@@ -93,30 +121,18 @@
 
     Attributes
     ----------
-    used_bytes : int
-        Part of `shared_bytes` that is in use.
     closed : dict of str to int
         Connections that were closed, by reason.
     """
 
     max_connections: int
-    shared_bytes: int
+    shared: Budget
+    peers: Budget
     max_inner_connections: int
     max_tasks: int
     requests: Requests = attrs.field(factory=Requests)
-    used_bytes: int = 0
     closed: dict = attrs.field(factory=dict)
 
-    def take(self, count):
-        """Take shared memory (bytes); return False if there is too little.
-
-        A negative number returns what was taken.
-        """
-        if count > 0 and self.used_bytes + count > self.shared_bytes:
-            return False
-        self.used_bytes += count
-        return True
-
 
 def default_fds():
     """Return the number of descriptors that the kernel allows."""
@@ -129,9 +145,8 @@
 def create(memory_mb=None, max_fds=None):
     """Return the limits of a process.
 
-    Two fifths of the memory for clients are for connections, two fifths are
-    shared by large requests and unread answers, and a fifth is for the tasks
-    of jobs. A quarter of the descriptors is for connections of other
+    The memory that the process doesn't need by itself is divided by
+    `_SHARES`. A quarter of the descriptors is for connections of other
     processes.
 
     Parameters
@@ -141,14 +156,19 @@
     """
     fds = min(max_fds or default_fds(), default_fds())
     client_mb = (memory_mb or DEFAULT_MEMORY_MB) - BASE_MEMORY_MB
-    fifth_bytes = max(client_mb, MIN_CLIENT_MB) * MB // 5
+    client_bytes = max(client_mb, MIN_CLIENT_MB) * MB
+    shares = {name: int(client_bytes * _SHARES[name]) for name in _SHARES}
     inner = max(fds // 4, 8)
     return Limits(
         max_connections=max(
-            min(2 * fifth_bytes // CONNECTION_BYTES, fds - inner - BASE_FDS),
+            min(
+                shares['connections'] // CONNECTION_BYTES,
+                fds - inner - BASE_FDS,
+            ),
             8,
         ),
-        shared_bytes=2 * fifth_bytes,
+        shared=Budget(shares['requests']),
+        peers=Budget(shares['peers']),
         max_inner_connections=inner,
-        max_tasks=max(fifth_bytes // TASK_BYTES, MIN_TASKS),
+        max_tasks=max(shares['tasks'] // TASK_BYTES, MIN_TASKS),
     )
--- a/azurepier/daemon/_shell.py
+++ b/azurepier/daemon/_shell.py
@@ -97,7 +97,7 @@
             on_disconnected=self._on_disconnected,
             on_connect_failed=self._on_connect_failed,
             max_unsent_age_s=self.max_unsent_age_s,
-            take_memory=lambda count: self.limits.take(count),
+            take_memory=lambda count: self.limits.peers.take(count),
         )
         self._schedule_wakeup()
 
--- a/azurepier/daemon/tests/test_http_server.py
+++ b/azurepier/daemon/tests/test_http_server.py
@@ -62,7 +62,12 @@
 
 def _limits_of(shared_bytes=1_000_000, max_connections=8, **requests):
     return _limits.Limits(
-        max_connections, shared_bytes, 8, 8, _limits.Requests(**requests)
+        max_connections,
+        _limits.Budget(shared_bytes),
+        _limits.Budget(shared_bytes),
+        8,
+        8,
+        _limits.Requests(**requests),
     )
 
 
@@ -107,7 +112,7 @@
     assert (await _exchange(connect, data)).split()[1] == status
     assert sum(limits.closed.values()) == 1
     assert (await _exchange(connect, GET % 1)).split()[1] == b'200'
-    assert limits.used_bytes == 0
+    assert limits.shared.used_bytes == 0
 
 
 @run_in_loop
@@ -149,7 +154,7 @@
     assert limits.closed == {'memory': 1}
     small = HEAD + b'content-length: 5000\r\n\r\n' + b'a' * 5_000
     assert (await _exchange(connect, small)).split()[1] == b'200'
-    assert limits.used_bytes == 0
+    assert limits.shared.used_bytes == 0
 
 
 @run_in_loop
@@ -222,7 +227,7 @@
     await reader.readline()
     writer.write(bytes(100_000))
     await asyncio.sleep(0.2)
-    assert limits.used_bytes == 0
+    assert limits.shared.used_bytes == 0
     writer.close()
 
 
--- a/azurepier/wire/_connection.py
+++ b/azurepier/wire/_connection.py
@@ -19,6 +19,8 @@
 # Part of an incomplete message that doesn't count towards the memory of all
 # connections; most messages are shorter.
 FREE_INCOMPLETE_BYTES = 64 * 1024
+# The same of messages that wait to be sent.
+FREE_UNSENT_BYTES = 32 * 1024
 MAX_UNSENT_BYTES = 32 * 1024 * 1024
 # A connection that is being closed is aborted after this time if the peer
 # has not read the remaining bytes.
@@ -76,7 +78,8 @@
         may no longer hold.
     take_memory : callable
         ``take_memory(count) -> bool`` tells whether there is memory for so
-        many more bytes of incomplete messages; negative to return them.
+        many more bytes of incomplete or unsent messages; negative to return
+        them.
     """
 
     make_hello: typing.Callable
@@ -132,6 +135,7 @@
         self._handshake_bytes = 0
         self._splitter = _frames.FrameSplitter()
         self._taken_bytes = 0
+        self._taken_unsent_bytes = 0
         self._send_buffer = []
         self._send_buffer_bytes = 0
         # Time at which the oldest message was added to the buffer (s).
@@ -176,8 +180,8 @@
             self._send_buffer_since = self._loop.time()
         self._send_buffer.append(frame)
         self._send_buffer_bytes += len(frame)
-        if self._send_buffer_bytes > MAX_UNSENT_BYTES:
-            self._check_unsent()
+        if self._send_buffer_bytes > FREE_UNSENT_BYTES:
+            self._count_unsent()
 
     def _flush(self):
         if not self._send_buffer or self._phase is _Phase.CLOSED:
@@ -193,14 +197,32 @@
         traffic.sent_bytes += len(data)
         traffic.writes += 1
         self._transport.write(data)
-        self._check_unsent()
+        self._count_unsent()
 
-    def _check_unsent(self):
+    def _count_unsent(self):
+        """Take the memory of unsent messages, or return it."""
+        if self._phase is _Phase.CLOSED:
+            return
         unsent = (
             self._transport.get_write_buffer_size() + self._send_buffer_bytes
         )
         if unsent > MAX_UNSENT_BYTES:
             self._fail(f'{unsent} unsent bytes exceed the limit')
+            return
+        held = unsent if unsent > FREE_UNSENT_BYTES else 0
+        if held == self._taken_unsent_bytes:
+            return
+        if not self._hooks.take_memory(held - self._taken_unsent_bytes):
+            self._fail(f'no memory for {unsent} unsent bytes')
+            return
+        self._taken_unsent_bytes = held
+
+    def pause_writing(self):
+        """Go on; unsent messages are counted when they are added."""
+
+    def resume_writing(self):
+        """Return the memory of messages that were sent."""
+        self._count_unsent()
 
     def get_buffer(self, sizehint):
         """Return the buffer for received bytes."""
@@ -272,6 +294,7 @@
     def connection_made(self, transport):
         """Start the handshake by sending the local `Hello`."""
         self._transport = transport
+        transport.set_write_buffer_limits(FREE_UNSENT_BYTES)
         address = transport.get_extra_info('peername') or ('unknown', 0)
         self.peer = f'{address[0]}:{address[1]}'
         self._timeout = self._loop.call_later(
@@ -318,9 +341,10 @@
 
     def connection_lost(self, exc):
         """Report the end of the connection to the owner."""
-        if self._taken_bytes:
-            self._hooks.take_memory(-self._taken_bytes)
-            self._taken_bytes = 0
+        taken = self._taken_bytes + self._taken_unsent_bytes
+        if taken:
+            self._hooks.take_memory(-taken)
+            self._taken_bytes = self._taken_unsent_bytes = 0
         self._phase = _Phase.CLOSED
         self._timeout.cancel()
         self._send_buffer.clear()
--- a/azurepier/wire/tests/test_connection.py
+++ b/azurepier/wire/tests/test_connection.py
@@ -252,6 +252,56 @@
         assert 'no memory' in b.disconnected[0]
         assert taken == [0]
 
+    @in_loop
+    async def test_unsent_messages_of_all_connections(self):
+        """Guards against peers that read nothing and together take all."""
+        a, b = RecordingProcess('a'), RecordingProcess('b')
+        taken = [0]
+
+        def take_memory(count):
+            if taken[0] + count > 4_000_000:
+                return False
+            taken[0] += count
+            return True
+
+        b.hooks = attrs.evolve(b.hooks, take_memory=take_memory)
+        update = messages.ConfigUpdate(version=1, base=0, body=b'x' * 500_000)
+        async with connected(a, b) as (conn, _):
+            address = '%s:%d' % conn._transport.get_extra_info('peername')
+            await wire.dial(address, a.hooks)
+            await until(lambda: len(a.connected) == len(b.connected) == 2)
+            for own_end, _ in a.connected:
+                own_end._transport.pause_reading()
+            for _ in range(100):
+                for other_end, _ in b.connected:
+                    other_end.send(update)
+                await asyncio.sleep(0)
+            await until(lambda: len(b.disconnected) == 2)
+        assert all('no memory' in reason for reason in b.disconnected)
+        assert taken == [0]
+
+    @in_loop
+    async def test_memory_of_sent_messages_is_returned(self):
+        """Guards against connections that are closed for no reason."""
+        a, b = RecordingProcess('a'), RecordingProcess('b')
+        taken = [0]
+
+        def take_memory(count):
+            taken[0] += count
+            return True
+
+        a.hooks = attrs.evolve(a.hooks, take_memory=take_memory)
+        update = messages.ConfigUpdate(version=1, base=0, body=b'x' * 500_000)
+        async with connected(a, b) as (conn, other_end):
+            other_end._transport.pause_reading()
+            for _ in range(20):
+                conn.send(update)
+                await asyncio.sleep(0)
+            assert taken[0] > 1_000_000
+            other_end._transport.resume_reading()
+            await until(lambda: len(b.messages) == 20 and not taken[0])
+        assert not a.connected[0][0].failed
+
     @in_loop
     async def test_malformed_frame_ends_the_connection(self):
         """After a malformed frame, no further data may be interpreted."""
