--- a/azurepier/daemon/_log_output.py
+++ b/azurepier/daemon/_log_output.py
@@ -5,9 +5,10 @@
 import os
 import time
 
-# Maximum number of lines queued for a slow reader; the oldest are dropped
-# first.
+# Maximum number of lines and of bytes queued for a slow reader; the oldest
+# are dropped first.
 MAX_QUEUED_LINES = 2000
+MAX_QUEUED_BYTES = 1024 * 1024
 # Token bucket for the lines of one process: average rate and burst.
 MAX_LINES_PER_S = 400.0
 MAX_BURST_LINES = 2000.0
@@ -36,7 +37,11 @@
         self._clock = clock
         self._tokens = MAX_BURST_LINES
         self._refilled_at = clock()
+        # Encoded lines, with the number of dropped lines that each reports.
         self._queue = collections.deque()
+        self._queued_bytes = 0
+        # Rest of the line that is being written.
+        self._unwritten = b''
 
     def emit(self, record):
         """Write or queue a record, or count it as suppressed."""
@@ -47,33 +52,45 @@
             self.suppressed += 1
             return
         self._tokens -= 1.0
-        if self.suppressed:
-            record.suppressed = self.suppressed
-            self.suppressed = 0
+        reported, self.suppressed = self.suppressed, 0
+        if reported:
+            record.suppressed = reported
         try:
             line = self.format(record) + '\n'
         except Exception:
             self.handleError(record)
             return
-        self._queue.append(line.encode())
-        while len(self._queue) > MAX_QUEUED_LINES:
-            self._queue.popleft()
-            self.suppressed += 1
+        data = line.encode()
+        self._queue.append((data, reported))
+        self._queued_bytes += len(data)
+        while (
+            len(self._queue) > MAX_QUEUED_LINES
+            or self._queued_bytes > MAX_QUEUED_BYTES
+        ):
+            self._drop_oldest()
         self._flush()
 
+    def _drop_oldest(self):
+        """Drop a line, and count it and those that it has counted."""
+        data, reported = self._queue.popleft()
+        self._queued_bytes -= len(data)
+        self.suppressed += 1 + reported
+
     def _flush(self):
-        while self._queue:
-            line = self._queue[0]
+        while self._unwritten or self._queue:
+            if not self._unwritten:
+                # A line that is being written is never dropped.
+                self._unwritten, _ = self._queue.popleft()
+                self._queued_bytes -= len(self._unwritten)
             try:
-                written = os.write(self._fd, line)
+                written = os.write(self._fd, self._unwritten)
             except BlockingIOError:
                 return
             except OSError:
                 # The reader is gone; the process continues without a log.
-                self.suppressed += len(self._queue)
-                self._queue.clear()
-                return
-            if written < len(line):
-                self._queue[0] = line[written:]
+                self._unwritten = b''
+                self.suppressed += 1
+                while self._queue:
+                    self._drop_oldest()
                 return
-            self._queue.popleft()
+            self._unwritten = self._unwritten[written:]
