--- a/azurepier/daemon/_http_port.py
+++ b/azurepier/daemon/_http_port.py
@@ -1,9 +1,29 @@
-"""Connections of one listening port: their number and their deadlines."""
+"""Connections of one listening port: their number and their deadlines.
+
+Load pattern: callers whose jobs hold most places for as long as they run, and
+crowds that open connections and send nothing, or send slowly. Some connections
+beyond the places are accepted nevertheless: what needs no place is answered on
+them, and what needs one is refused with an answer.
+"""
 
 import asyncio
+import enum
 
+from azurepier.daemon import _http_refusal
 from azurepier.daemon import _limits
 
+# Connections of a port without a place: a share of all, and a maximum.
+SPARE_SHARE = 0.125
+MAX_SPARE = 64
+
+
+class Place(enum.Enum):
+    """Whether a connection counts towards the places of its port."""
+
+    NONE = 0
+    REGULAR = 1
+    SPARE = 2
+
 
 class Port:
     """The open connections of one listening port.
@@ -19,50 +39,107 @@
 
     Attributes
     ----------
+    max_spare, max_regular : int
+        Connections without and with a place.
+    regular : int
+        Connections with a place.
+    spare : dict
+        Connections without a place, as keys, the oldest first.
     waiting : dict
         Connections that have no request in progress, as keys, in the order in
         which they began to wait; with the time of that (s).
     receiving, receiving_body, unread : dict
         The same of connections that send a header section, of those that send
         a body, and of those that don't read their answers.
+    return_times : ReturnTimes
+    refuse_app : callable
+        ASGI application for requests that need a place.
     """
 
     def __init__(self, limits, name, share=1.0):
         self.limits = limits
         self.name = name
-        self.max_connections = max(int(limits.max_connections * share), 2)
-        self.connections = 0
+        total = max(int(limits.max_connections * share), 2)
+        self.max_spare = min(max(int(total * SPARE_SHARE), 1), MAX_SPARE)
+        self.max_regular = total - self.max_spare
+        self.regular = 0
+        self.spare = {}
         self.waiting = {}
         self.receiving = {}
         self.receiving_body = {}
         self.unread = {}
+        self.return_times = _http_refusal.ReturnTimes()
+        self.refuse_app = _http_refusal.make_app(self)
         self._loop = asyncio.get_running_loop()
         self._swept_at = self._loop.time()
         self._loop.call_later(_limits.SWEEP_INTERVAL_S, self._sweep)
 
-    def admit(self):
-        """Tell whether there is room for another connection.
+    def admit(self, conn):
+        """Return the place of a new connection.
 
-        One is closed that has been sending a request, or has left answers
-        unread, for `SLOW_REQUEST_S`, else the one that has waited longest for
-        its next request.
+        Others give way to it in this order: connections that have been idle,
+        have been sending a request, or have left answers unread for
+        `SLOW_REQUEST_S`, the longest first; connections without a place that
+        have sent no request; then the others without a complete request.
         """
-        if self.connections < self.max_connections:
-            return True
+        if self.regular >= self.max_regular:
+            self._make_room(_limits.SLOW_REQUEST_S, self._slow_ones())
+        if self.regular < self.max_regular:
+            self.regular += 1
+            return Place.REGULAR
+        if len(self.spare) >= self.max_spare:
+            self._end_idle_spare()
+        if len(self.spare) < self.max_spare:
+            self.spare[conn] = None
+            return Place.SPARE
+        self._make_room(0.0, (self.waiting, self.receiving))
+        if self.regular < self.max_regular:
+            self.regular += 1
+            return Place.REGULAR
+        return Place.NONE
+
+    def _slow_ones(self):
+        return self.receiving, self.receiving_body, self.unread, self.waiting
+
+    def _make_room(self, min_age_s, candidates):
+        """Close the connection with a place that is first in its order."""
         now = self._loop.time()
-        for since, age_s in (
-            (self.receiving, _limits.SLOW_REQUEST_S),
-            (self.receiving_body, _limits.SLOW_REQUEST_S),
-            (self.unread, _limits.SLOW_REQUEST_S),
-            (self.waiting, 0.0),
-            (self.receiving, 0.0),
-            (self.receiving_body, 0.0),
-        ):
-            conn, began_at = next(iter(since.items()), (None, now))
-            if conn is not None and now - began_at >= age_s:
+        for since in candidates:
+            for conn, began_at in since.items():
+                if now - began_at < min_age_s:
+                    break
+                if conn not in self.spare:
+                    conn.close_for('connections')
+                    return
+
+    def _end_idle_spare(self):
+        for conn in self.spare:
+            if conn in self.waiting:
                 conn.close_for('connections')
-                return True
-        return False
+                return
+
+    def release(self, conn, place):
+        """Return the place of a connection that has ended."""
+        if place is Place.REGULAR:
+            self.regular -= 1
+        self.spare.pop(conn, None)
+
+    def record_answer(self, place):
+        """Note that a request is over, so that its place can be taken."""
+        if place is Place.REGULAR:
+            self.return_times.record_freed(self._loop.time())
+
+    def promote(self, conn):
+        """Give a spare connection a place if one is free; return its place."""
+        if self.regular >= self.max_regular:
+            return Place.SPARE
+        del self.spare[conn]
+        self.regular += 1
+        return Place.REGULAR
+
+    def retry_after_s(self):
+        """Return the Retry-After of a client that is refused now (s)."""
+        return self.return_times.next_s(self._loop.time())
 
     def _sweep(self):
         now = self._loop.time()
--- a/azurepier/daemon/_http_server.py
+++ b/azurepier/daemon/_http_server.py
@@ -9,12 +9,13 @@
 """
 
 import asyncio
-import socket
 
 import httptools
-from uvicorn.protocols.http import flow_control
 from uvicorn.protocols.http import httptools_impl
 
+from azurepier.daemon import _http_flow
+from azurepier.daemon import _http_port
+from azurepier.daemon import _http_refusal
 from azurepier.daemon import _limits
 from azurepier.daemon import _logs
 
@@ -22,46 +23,12 @@
 # All connections of a process share one receive buffer: the event loop calls
 # `buffer_updated` immediately after it has filled the buffer.
 _receive_buffer = memoryview(bytearray(_limits.READ_BYTES))
-_ANSWER = b'HTTP/1.1 %b\r\ncontent-length: 0\r\nconnection: close\r\n\r\n'
-_STATUS_BY_REASON = {
-    'header_bytes': b'431 Request Header Fields Too Large',
-    'body_bytes': b'413 Content Too Large',
-    'framing_bytes': b'400 Bad Request',
-    'malformed': b'400 Bad Request',
-    'header_timeout': b'408 Request Timeout',
-    'body_timeout': b'408 Request Timeout',
-    'memory': b'503 Service Unavailable\r\nretry-after: 1',
-}
 
 
 class _ExceededError(Exception):
     """A limit was exceeded; stops the parser."""
 
 
-class _Flow(flow_control.FlowControl):
-    """Flow control that ignores a resume while reading must pause."""
-
-    def __init__(self, transport, conn):
-        super().__init__(transport)
-        self._conn = conn
-
-    def pause_reading(self):
-        if not self.read_paused:
-            super().pause_reading()
-            self._conn.on_reading_paused()
-
-    def resume_reading(self):
-        if self.read_paused and self._conn.may_read():
-            super().resume_reading()
-            self._conn.on_reading_resumed()
-
-
-def prepare_socket(sock):
-    """Bound the kernel's buffers of the connections of a listening socket."""
-    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
-        sock.setsockopt(socket.SOL_SOCKET, option, _limits.SOCKET_BUFFER_BYTES)
-
-
 class BoundedProtocol(
     httptools_impl.HttpToolsProtocol, asyncio.BufferedProtocol
 ):
@@ -77,8 +44,10 @@
     def __init__(self, port, **kwargs):
         super().__init__(**kwargs)
         self._port = port
-        self._admitted = False
+        self._place = _http_port.Place.NONE
         self._closing = False
+        # The request whose answer is under way, while others wait behind it.
+        self._open_cycle = None
         # Bytes that were read but not parsed.
         self._unparsed = b''
         # Whether the parser is in a header section, and the bytes of it that
@@ -100,13 +69,12 @@
     def connection_made(self, transport):
         """Admit the connection, or close it if there are too many."""
         super().connection_made(transport)
-        self.flow = _Flow(transport, self)
+        self.flow = _http_flow.Flow(transport, self)
         port = self._port
-        if not port.admit():
+        self._place = port.admit(self)
+        if self._place is _http_port.Place.NONE:
             self.close_for('connections')
             return
-        self._admitted = True
-        port.connections += 1
         # Any unsent byte pauses reading.
         transport.set_write_buffer_limits(high=0)
         port.waiting[self] = self.loop.time()
@@ -120,9 +88,10 @@
     def _forget(self):
         port = self._port
         self._closing = True
-        if self._admitted:
-            self._admitted = False
-            port.connections -= 1
+        if self.cycle is not None and not self.cycle.response_complete:
+            port.record_answer(self._place)
+        port.release(self, self._place)
+        self._place = _http_port.Place.NONE
         port.limits.shared.used_bytes -= self._taken_bytes + self._unsent_bytes
         self._taken_bytes = self._unsent_bytes = 0
         self._unparsed = b''
@@ -169,8 +138,7 @@
         if self._closing:
             return
         self._forget()
-        closed = self._port.limits.closed
-        closed[reason] = closed.get(reason, 0) + 1
+        self._port.limits.count_closed(reason)
         if reason != 'idle_timeout':
             _log.warning(
                 'client_closed',
@@ -178,7 +146,7 @@
                 port=self._port.name,
                 client=self.client and self.client[0],
             )
-        status = _STATUS_BY_REASON.get(reason)
+        answer = _http_refusal.make_answer(self._port, reason)
         may_answer = not self.pipeline and (
             self.cycle is None
             or self.cycle.response_complete
@@ -187,8 +155,8 @@
         if self.cycle is not None and not self.cycle.response_complete:
             self.cycle.disconnected = True
             self.cycle.message_event.set()
-        if status and may_answer and not self.flow.write_paused:
-            self.transport.write(_ANSWER % status)
+        if answer and may_answer and not self.flow.write_paused:
+            self.transport.write(answer)
             # Unsent bytes would keep the connection open.
             if not self.transport.get_write_buffer_size():
                 self.transport.close()
@@ -334,6 +302,17 @@
         # the limits is never refused.
         self._head_bytes = -self._slice_bytes
 
+    def _start_asgi_task(self, cycle, app):
+        """Start a request, or refuse it if it needs a place."""
+        self._open_cycle = cycle
+        if self._place is _http_port.Place.SPARE:
+            self._place = self._port.promote(self)
+        if self._place is _http_port.Place.SPARE:
+            cycle.keep_alive = False
+            if cycle.scope['method'] in _http_refusal.HOLDING_METHODS:
+                app = self._port.refuse_app
+        super()._start_asgi_task(cycle, app)
+
     def _release(self):
         self._port.limits.shared.used_bytes -= self._taken_bytes
         self._taken_bytes = 0
@@ -341,6 +320,7 @@
     def on_response_complete(self):
         """Return the memory of the request, and go on with the next one."""
         self.server_state.total_requests += 1
+        self._port.record_answer(self._place)
         self._release()
         if self._closing or self.transport.is_closing():
             return
--- a/azurepier/daemon/_limits.py
+++ b/azurepier/daemon/_limits.py
@@ -133,6 +133,10 @@
     requests: Requests = attrs.field(factory=Requests)
     closed: dict = attrs.field(factory=dict)
 
+    def count_closed(self, reason):
+        """Count a connection that was closed."""
+        self.closed[reason] = self.closed.get(reason, 0) + 1
+
 
 def default_fds():
     """Return the number of descriptors that the kernel allows."""
--- a/azurepier/daemon/_web.py
+++ b/azurepier/daemon/_web.py
@@ -7,6 +7,7 @@
 import attrs
 import uvicorn
 
+from azurepier.daemon import _http_flow
 from azurepier.daemon import _http_port
 from azurepier.daemon import _http_server
 from azurepier.daemon import _limits
@@ -74,6 +75,6 @@
         if task.done():
             raise AzurepierError('the HTTP server did not start')
         await asyncio.sleep(_START_POLL_INTERVAL_S)
-    _http_server.prepare_socket(sock)
+    _http_flow.prepare_socket(sock)
     sock.listen(wire.BACKLOG)
     return WebServer(server, task)
