--- a/azurepier/daemon/_http_server.py
+++ b/azurepier/daemon/_http_server.py
@@ -14,6 +14,7 @@
 from uvicorn.protocols.http import httptools_impl
 
 from azurepier.daemon import _http_flow
+from azurepier.daemon import _http_memory
 from azurepier.daemon import _http_port
 from azurepier.daemon import _http_refusal
 from azurepier.daemon import _limits
@@ -54,16 +55,17 @@
         # were parsed.
         self._in_head = True
         self._head_bytes = 0
-        self._slice_bytes = 0
-        self._body_bytes = 0
-        self._framing_bytes = 0
-        self._framing_since = 0
-        self._taken_bytes = 0
-        self._unsent_bytes = 0
+        self._slice_bytes = self._body_bytes = 0
+        self._framing_bytes = self._framing_since = 0
+        self._memory = _http_memory.ConnectionMemory(port.limits.shared)
+        # Whether there was no memory for a pause of reading, and whether what
+        # the client sends is dropped since then.
+        self._lacks_memory = False
+        self._drops_input = False
         # Whether a part of a request has arrived that isn't complete.
         self._has_begun = False
         self._upgraded = False
-        # Limit that a callback of the parser has found to be exceeded.
+        # Limit that a callback of the parser has found exceeded.
         self._exceeded = ''
 
     def connection_made(self, transport):
@@ -92,8 +94,7 @@
             port.record_answer(self._place)
         port.release(self, self._place)
         self._place = _http_port.Place.NONE
-        port.limits.shared.used_bytes -= self._taken_bytes + self._unsent_bytes
-        self._taken_bytes = self._unsent_bytes = 0
+        self._memory.give_back(*_http_memory.Use)
         self._unparsed = b''
         self._leave()
         port.unread.pop(self, None)
@@ -164,10 +165,36 @@
         self.transport.abort()
 
     def on_reading_paused(self):
-        """React to a pause of reading."""
+        """Take the memory of what the client sends meanwhile."""
+        if self._closing:
+            return
+        self._lacks_memory = not self._memory.take(
+            _http_memory.Use.PAUSED, _limits.PAUSED_BYTES
+        )
 
     def on_reading_resumed(self):
-        """React to the end of a pause."""
+        """Return that memory."""
+        self._lacks_memory = False
+        self._memory.give_back(_http_memory.Use.PAUSED)
+
+    def _relieve(self):
+        """Do without the memory for a pause of reading.
+
+        The answer under way is the last one on the connection, and tells the
+        client so; what it sends meanwhile is dropped.
+        """
+        cycle = self._open_cycle
+        if cycle.response_complete or not self._in_head:
+            self.close_for('memory')
+            return
+        self._port.limits.count_closed('memory')
+        self._lacks_memory, self._drops_input = False, True
+        self._unparsed = b''
+        self.pipeline.clear()
+        self._has_begun = False
+        self.cycle = cycle
+        cycle.keep_alive = False
+        self.flow.resume_reading()
 
     def may_read(self):
         """Tell whether neither answers nor requests wait."""
@@ -183,7 +210,7 @@
 
     def data_received(self, data):
         """Parse data, as far as the limits allow."""
-        if self._closing or self._upgraded:
+        if self._closing or self._upgraded or self._drops_input:
             return
         if self._unparsed:
             # It was read before reading could be paused.
@@ -204,6 +231,8 @@
             self._parse(data[start : start + size])
             if self._closing or self._upgraded:
                 break
+        if self._lacks_memory and not self._closing:
+            self._relieve()
         self._track()
 
     def _parse(self, data):
@@ -287,9 +316,8 @@
         raise _ExceededError(reason)
 
     def _take(self, count):
-        if not self._port.limits.shared.take(count):
+        if not self._memory.take(_http_memory.Use.REQUEST, count):
             self._exceed('memory')
-        self._taken_bytes += count
 
     def on_message_complete(self):
         """End the request; the next bytes are those of another one."""
@@ -297,7 +325,7 @@
         self._in_head = True
         self._has_begun = False
         if self.cycle.response_complete:
-            self._release()
+            self._memory.give_back(_http_memory.Use.REQUEST)
         # What follows in this slice isn't counted, so that a client within
         # the limits is never refused.
         self._head_bytes = -self._slice_bytes
@@ -313,15 +341,11 @@
                 app = self._port.refuse_app
         super()._start_asgi_task(cycle, app)
 
-    def _release(self):
-        self._port.limits.shared.used_bytes -= self._taken_bytes
-        self._taken_bytes = 0
-
     def on_response_complete(self):
         """Return the memory of the request, and go on with the next one."""
         self.server_state.total_requests += 1
         self._port.record_answer(self._place)
-        self._release()
+        self._memory.give_back(_http_memory.Use.REQUEST)
         if self._closing or self.transport.is_closing():
             return
         # The base class starts a timer for each idle connection; here the
@@ -340,11 +364,11 @@
         self._leave()
         self._port.unread[self] = self.loop.time()
         unsent = self.transport.get_write_buffer_size()
-        if unsent <= _limits.FREE_BYTES:
-            return
-        if self._port.limits.shared.take(unsent):
-            self._unsent_bytes = unsent
-        else:
+        if unsent > _limits.FREE_BYTES and not self._lacks_memory:
+            self._lacks_memory = not self._memory.take(
+                _http_memory.Use.UNSENT, unsent
+            )
+        if self._lacks_memory:
             # The transport calls this within a write.
             self.loop.call_soon(self.close_for, 'memory')
 
@@ -352,8 +376,7 @@
         """Go on reading."""
         super().resume_writing()
         self._port.unread.pop(self, None)
-        self._port.limits.shared.used_bytes -= self._unsent_bytes
-        self._unsent_bytes = 0
+        self._memory.give_back(_http_memory.Use.UNSENT)
         self._track()
         self._go_on()
 
--- a/azurepier/daemon/_limits.py
+++ b/azurepier/daemon/_limits.py
@@ -18,14 +18,13 @@
 # its links. At least `MIN_CLIENT_MB` are left for clients.
 BASE_MEMORY_MB = 56
 MIN_CLIENT_MB = 8
-# Memory of a connection (bytes): 32 KB for its objects, one request with a
-# small body, and a read that waits, and as much for the kernel's receive
-# buffer, which is full while a paused connection isn't read.
-CONNECTION_BYTES = 64 * 1024
+# Memory of a connection (bytes): its objects, and one request with a small
+# body that waits for its answer.
+CONNECTION_BYTES = 32 * 1024
 # Memory of a task or a run of a job (bytes).
 TASK_BYTES = 1024
 # Division of the memory for clients.
-_SHARES = {'connections': 0.3, 'requests': 0.3, 'peers': 0.2, 'tasks': 0.2}
+_SHARES = {'connections': 0.4, 'requests': 0.25, 'peers': 0.15, 'tasks': 0.2}
 # Tasks that an entry accepts at least: two jobs of the largest size.
 MIN_TASKS = 20_000
 # Descriptors for logs, listening sockets, the store and the worker.
@@ -49,6 +48,9 @@
 # without a limit the kernel lets them grow to megabytes, which count towards
 # the memory of a machine.
 SOCKET_BUFFER_BYTES = 16 * 1024
+# Memory of a connection that isn't read (bytes): the kernel's receive buffer,
+# which fills, and one read.
+PAUSED_BYTES = 2 * SOCKET_BUFFER_BYTES + READ_BYTES
 # Headers of a request; each takes 130 bytes beyond its own.
 MAX_HEADERS = 256
 # A connection that is receiving a request for this time gives way to a new
--- a/azurepier/daemon/tests/test_http_refusal.py
+++ b/azurepier/daemon/tests/test_http_refusal.py
@@ -6,6 +6,7 @@
 
 from azurepier.daemon import _http_port
 from azurepier.daemon import _http_refusal
+from azurepier.daemon import _limits
 from azurepier.daemon.tests import test_http_server as server
 
 _SLOW = server.GET.replace(b'/%d', b'/slow')
@@ -122,6 +123,42 @@
             assert port.max_regular + port.max_spare == max(count, 2)
 
 
+class TestRequestsSentAhead:
+    """A client that sends requests ahead while there is no memory for them."""
+
+    @server.run_in_loop
+    async def test_answer_under_way_is_the_last(self):
+        """Guards against a job that is cut off by what follows it."""
+        limits = server._limits_of(shared_bytes=1000)
+        connect = await server._start(limits)
+        client = await connect()
+        client[1].write(_SLOW + server.GET % 2 + _post() + server.HEAD)
+        await asyncio.sleep(0.1)
+        client[1].write(bytes(200_000))
+        answer = await _read(client)
+        assert answer.startswith(b'HTTP/1.1 200')
+        assert b'\r\nconnection: close' in answer
+        assert answer.endswith(b'\r\n\r\n/slow')
+        assert limits.closed == {'memory': 1}
+        assert limits.shared.used_bytes == 0
+
+    @server.run_in_loop
+    async def test_memory_of_paused_connections(self):
+        """Guards against received bytes that no limit counts."""
+        limits = server._limits_of()
+        connect = await server._start(limits)
+        client = await connect()
+        client[1].write(_SLOW + server.GET % 2)
+        await asyncio.sleep(0.1)
+        assert limits.shared.used_bytes == _limits.PAUSED_BYTES
+        for path in (b'/slow', b'/2'):
+            head = await client[0].readuntil(b'\r\n\r\n')
+            assert head.startswith(b'HTTP/1.1 200')
+            assert await client[0].readexactly(len(path)) == path
+        assert limits.shared.used_bytes == 0
+        client[1].close()
+
+
 class TestReturnTimes:
     """Callers that are refused while jobs end at a steady rate."""
 
--- a/azurepier/daemon/tests/test_http_server.py
+++ b/azurepier/daemon/tests/test_http_server.py
@@ -197,7 +197,7 @@
 @run_in_loop
 async def test_partial_head_behind_other_requests():
     """Guards against a partial request that stays after the others."""
-    limits = _limits_of(max_connections=64, header_timeout_s=0.2)
+    limits = _limits_of(4_000_000, max_connections=64, header_timeout_s=0.2)
     connect = await _start(limits)
     clients = [await connect() for _ in range(56)]
     for number, (_, writer) in enumerate(clients, start=4):
