--- a/azurepier/kernel/_timers.py
+++ b/azurepier/kernel/_timers.py
@@ -5,13 +5,18 @@
 
 import attrs
 
+# Outdated items that the heap may have beyond one for each timer.
+MAX_OUTDATED = 64
+
 
 @attrs.define
 class Timers:
     """Pending timers, each identified by a hashable key.
 
     Setting a timer again replaces its deadline. The heap uses lazy deletion:
-    items that do not match the deadline of their key are skipped.
+    items that do not match the deadline of their key are skipped. Once these
+    are the greater part, they are removed: a job that ends within milliseconds
+    may have a deadline of an hour.
     """
 
     _heap: list = attrs.field(factory=list)
@@ -23,6 +28,16 @@
         self._deadlines[key] = at
         self._counter += 1
         heapq.heappush(self._heap, (at, self._counter, key))
+        if len(self._heap) > 2 * len(self._deadlines) + MAX_OUTDATED:
+            self._remove_outdated()
+
+    def _remove_outdated(self):
+        current = {}
+        for at, counter, key in sorted(self._heap):
+            if self._deadlines.get(key) == at:
+                current.setdefault(key, (at, counter, key))
+        # Sorted items are a heap.
+        self._heap = list(current.values())
 
     def set_no_later_than(self, key, at):
         """Set the timer `key` to `at` (s) unless it expires earlier."""
--- a/azurepier/kernel/tests/test_kernel.py
+++ b/azurepier/kernel/tests/test_kernel.py
@@ -37,6 +37,34 @@
         assert list(timers.expired(3.0)) == ['a']
         assert timers.next_at() is None
 
+    def test_canceled_timers_take_no_memory(self):
+        # Guards against jobs with a late deadline that ended long ago.
+        timers = kernel.Timers()
+        timers.set('last', 5000.0)
+        for number in range(10_000):
+            timers.set(number, 3600.0 + number)
+            timers.set('often', 7.0)
+            timers.cancel(number)
+        assert len(timers._heap) < 200
+        assert list(timers.expired(9999.0)) == ['often', 'last']
+
+    def test_order_with_many_replaced_deadlines(self):
+        # Guards against timers that get lost with outdated ones.
+        timers = kernel.Timers()
+        rng = random.Random(1)
+        expected = {}
+        for _ in range(5000):
+            key, at = rng.randrange(300), rng.randrange(1000)
+            expected[key] = at
+            timers.set(key, at)
+            if rng.random() < 0.3:
+                key = rng.randrange(300)
+                expected.pop(key, None)
+                timers.cancel(key)
+        expired = list(timers.expired(1000))
+        assert sorted(expired) == sorted(expected)
+        assert [expected[key] for key in expired] == sorted(expected.values())
+
 
 class TestErrors:
     def test_pickled(self):
