--- a/azurepier/dispatch/_callers.py
+++ b/azurepier/dispatch/_callers.py
@@ -17,6 +17,7 @@
 from azurepier.dispatch import _order
 from azurepier.dispatch import _placement
 from azurepier.dispatch import _priority
+from azurepier.dispatch import _records
 from azurepier.dispatch import _runs
 from azurepier.dispatch import _state
 from azurepier.dispatch import _supply
@@ -67,6 +68,7 @@
     )
     job.remaining = request.count
     job.started_before = request.id in node.started_jobs
+    job.start_forgotten = _records.is_start_forgotten(node, now)
     node.current_job = job
     has_room = _has_room(node, request.count)
     if has_room:
@@ -145,7 +147,7 @@
         'to_pool': queue.pool,
         'running': len(job.running),
     }
-    _runs.remember_start(node, job, now)
+    _records.remember_start(node, job, now)
     return [effects.Log('job_moved', fields), *_runs.remove_job(node, job)]
 
 
@@ -193,5 +195,5 @@
         'running': len(job.running),
     }
     out = [effects.Log('job_abandoned', fields)]
-    _runs.remember_start(node, job, now)
+    _records.remember_start(node, job, now)
     return out + _runs.remove_job(node, job)
--- a/azurepier/dispatch/_runs.py
+++ b/azurepier/dispatch/_runs.py
@@ -7,6 +7,7 @@
 from azurepier.dispatch import _lookahead
 from azurepier.dispatch import _model
 from azurepier.dispatch import _priority
+from azurepier.dispatch import _records
 from azurepier.dispatch import _state
 from azurepier.kernel import effects
 from azurepier.kernel import messages
@@ -28,13 +29,6 @@
 # fails; fewer if the pool has fewer.
 MIN_FAILED_ENDPOINTS = 2
 
-# Outcomes are kept this long for callers that resubmit a job (s).
-OUTCOME_RETENTION_S = 15.0
-
-# Jobs that were started and have no outcome are remembered this long (s);
-# callers submit a job again for up to 40 s.
-STARTED_RETENTION_S = 40.0
-
 # Refusals that are usual when several entries compete for the same capacity,
 # or when a worker returns as another kind. They are counted in the log line of
 # the job's end, since a line for each would make up most of the log.
@@ -222,8 +216,9 @@
 def finish_job(node, job, answer, now):
     """Answer the callers of a job and remove it; return the effects."""
     if isinstance(answer, _model.Rejected):
-        remember_start(node, job, now)
-        if job.started_before and answer.verdict is Verdict.NOT_RUN:
+        _records.remember_start(node, job, now)
+        may_have_run = job.started_before or job.start_forgotten
+        if may_have_run and answer.verdict is Verdict.NOT_RUN:
             answer = attrs.evolve(answer, verdict=Verdict.MAY_HAVE_RUN)
     out = remove_job(node, job)
     out += [effects.Answer(req, answer) for req in sorted(job.reqs)]
@@ -248,12 +243,7 @@
         out.append(effects.Log('job_ended', {**fields, 'outcome': outcome}))
         node.count(f'jobs_{outcome}')
         node.observe(f'job_{outcome}', now - job.received_at)
-        node.recent_outcomes[job.request.id] = (now, answer)
-        while (
-            next(iter(node.recent_outcomes.values()))[0]
-            < now - OUTCOME_RETENTION_S
-        ):
-            node.recent_outcomes.popitem(last=False)
+        _records.remember_outcome(node, job.request.id, answer, now)
     else:
         fields['retry_after_s'] = answer.retry_after_s
         fields['verdict'] = answer.verdict.value
@@ -265,19 +255,6 @@
     return out
 
 
-def remember_start(node, job, now):
-    """Remember that a job without an outcome was started, if it was."""
-    started_jobs = node.started_jobs
-    if job.has_started or job.started_before:
-        started_jobs[job.request.id] = now
-        started_jobs.move_to_end(job.request.id)
-    while (
-        started_jobs
-        and next(iter(started_jobs.values())) < now - STARTED_RETENTION_S
-    ):
-        started_jobs.popitem(last=False)
-
-
 def remove_job(node, job):
     """Stop a job's runs and remove it; return the effects."""
     out = stop_runs(node, job)
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -100,6 +100,8 @@
     started_before : bool
         Whether the job was started for an earlier submission, as far as this
         entry knows.
+    start_forgotten : bool
+        Whether this entry may have forgotten that.
     """
 
     reqs: set
@@ -113,6 +115,7 @@
     remaining: int = 0
     may_have_run: bool = False
     started_before: bool = False
+    start_forgotten: bool = False
     # Times of the first and the latest start (s), and number of starts by
     # endpoint name, for the log.
     first_start_at: float | None = None
@@ -259,6 +262,8 @@
     started_jobs : OrderedDict
         Time at which a job that had started was removed without an outcome,
         by job id.
+    start_forgotten_at : float
+        Latest of these times whose job was forgotten early (s).
     endpoints : dict of str to Endpoint
         By incarnation; includes endpoints that are disconnected.
     by_conn : dict of int to Endpoint
@@ -311,6 +316,7 @@
     started_jobs: collections.OrderedDict = attrs.field(
         factory=collections.OrderedDict
     )
+    start_forgotten_at: float = -math.inf
     endpoints: dict = attrs.field(factory=dict)
     by_conn: dict = attrs.field(factory=dict)
     peers: dict = attrs.field(factory=dict)
