--- a/azurepier/dispatch/_cancel_checks.py
+++ b/azurepier/dispatch/_cancel_checks.py
@@ -72,7 +72,8 @@
     conn : int or None
         Connection over which it came; None at its origin.
     job_ids : tuple of str
-        Jobs of which the origin wants to know whether an entry had them.
+        Jobs of which the origin wants to know whether an entry had them;
+        dropped once the check is forwarded.
     forwarded_to, pending : set of int
         Connections over which it was forwarded, and those of them over which
         neither a confirmation nor the check itself has come.
@@ -191,6 +192,7 @@
             origin=key[0], number=key[1], job_ids=list(check.job_ids)
         )
     ]
+    check.job_ids = ()
     out = [effects.Send(conn, msg) for conn in sorted(check.pending)]
     return out + _finish_if_complete(node, key, check, now)
 
--- a/azurepier/dispatch/tests/test_cancel_checks.py
+++ b/azurepier/dispatch/tests/test_cancel_checks.py
@@ -239,6 +239,19 @@
         fleet.run_for(2.0)
         assert 'job' in fleet.entries['e1'].node.canceled_jobs
 
+    def test_checks_keep_no_ids(self):
+        """Guards against ids that each check keeps for seconds."""
+        fleet = testing.make_pool(entries=3)
+        reqs = [
+            cancel(fleet, 'e0', f'unknown{number}', knows_route=False)
+            for number in range(50)
+        ]
+        wait(fleet, 'e0', reqs[-1])
+        for process in fleet.entries.values():
+            checks = process.node.cancel_checks.checks
+            assert checks
+            assert not any(check.job_ids for check in checks.values())
+
     def test_records_are_forgotten(self):
         """Guards against memory that endpoint processes keep for good."""
         fleet = testing.make_pool()
