--- a/tests/adapter/crowd.py
+++ b/tests/adapter/crowd.py
@@ -263,6 +263,18 @@
     return bool(offered.pending) or offered.left > 0
 
 
+def settle(process):
+    """Wait until the memory of a process doesn't grow any more."""
+    deadline = time.monotonic() + ANSWER_TIMEOUT_S
+    grown_at, peak_mb = time.monotonic(), 0.0
+    while process.is_alive() and time.monotonic() < deadline:
+        if process.peak_mb() > peak_mb:
+            grown_at, peak_mb = time.monotonic(), process.peak_mb()
+        elif time.monotonic() - grown_at > 2 * STALL_S:
+            return
+        time.sleep(_POLL_INTERVAL_S)
+
+
 def ask(address, request):
     """Return the first bytes of the answer to a request.
 
--- a/tests/adapter/limited_fleet.py
+++ b/tests/adapter/limited_fleet.py
@@ -79,8 +79,8 @@
         Soft limit of descriptors.
     capacity : dict of str to int
         Capacity of the worker.
-    config_bytes : int
-        Length of an additional field of the configuration.
+    config : dict
+        Configuration in the store.
     entry_output : int, optional
         File descriptor or `subprocess.PIPE` for the log of the entry.
     """
@@ -89,7 +89,7 @@
     limits: dict
     max_fds: int
     capacity: dict
-    config_bytes: int = 0
+    config: dict = attrs.field(factory=CONFIG.copy)
     entry_output: int | None = None
     store: fakes.FakeStore = attrs.field(factory=fakes.FakeStore)
     worker: fakes.FakeWorker = attrs.field(factory=fakes.FakeWorker)
@@ -103,8 +103,7 @@
         """Start the stand-ins and both processes."""
         self._thread = threading.Thread(target=self._loop.run_forever)
         self._thread.start()
-        cfg = CONFIG | {'notes': 'a' * self.config_bytes}
-        self.store.put(_store.CONFIG_KEY, json.dumps(cfg).encode())
+        self._put_config()
         for stand_in in (self.store, self.worker):
             future = asyncio.run_coroutine_threadsafe(
                 _server.start(stand_in.handle), self._loop
@@ -114,6 +113,14 @@
         self.endpoint = self._start_process('endpoint', ENDPOINT_IP)
         asyncio.run_coroutine_threadsafe(self._send_heartbeats(), self._loop)
 
+    def _put_config(self):
+        self.store.put(_store.CONFIG_KEY, json.dumps(self.config).encode())
+
+    def change_config(self, **changes):
+        """Write another version of the configuration."""
+        self.config |= changes
+        self._loop.call_soon_threadsafe(self._put_config)
+
     def _start_process(self, role, ip, output=None):
         store, worker = self._servers
         path = self.folder / f'{role}.toml'
--- a/tests/adapter/test_client_crowds.py
+++ b/tests/adapter/test_client_crowds.py
@@ -212,7 +212,9 @@
 
     def test_configuration_is_asked_for(self, start_fleet):
         """Guards against unsent messages that no limit of memory covers."""
-        fleet = start_fleet(config_bytes=self.CONFIG_BYTES)
+        fleet = start_fleet(
+            config=limited_fleet.CONFIG | {'notes': 'a' * self.CONFIG_BYTES}
+        )
         hello = messages.Hello(
             protocol=1,
             role='entry',
