--- a/tests/adapter/test_client_crowds.py
+++ b/tests/adapter/test_client_crowds.py
@@ -262,6 +262,34 @@
         check_processes(fleet)
 
 
+class TestLongLists:
+    """A worker that lists more runs than any process starts there."""
+
+    ROWS = 80_000
+    MEMORY_MB = 96
+
+    def test_running_runs(self, start_fleet):
+        """Guards against rows that take many times their bytes."""
+        fleet = start_fleet(limits={'memory_mb': self.MEMORY_MB})
+        rows = [
+            [f'{number:016x}.0.0.0', 1, '', 50, 0]
+            for number in range(self.ROWS)
+        ]
+        fleet.worker.hold_reply = (
+            200,
+            {
+                'clock_ms': fleet.worker.clock_ms(),
+                'born': fleet.worker.born,
+                'running': rows,
+                'ended': [],
+            },
+        )
+        crowd.settle(fleet.endpoint)
+        fleet.worker.hold_reply = None
+        ask_for_job(fleet.entry.addresses['front'], 'after')
+        check_processes(fleet, self.MEMORY_MB)
+
+
 class TestManyIds:
     """Ids of jobs, each of which a process remembers for a while."""
 
