--- a/azurepier/daemon/_http_port.py
+++ b/azurepier/daemon/_http_port.py
@@ -11,10 +11,21 @@
 
 from azurepier.daemon import _http_refusal
 from azurepier.daemon import _limits
+from azurepier.daemon import _logs
+
+_log = _logs.EventLog('azurepier')
 
 # Connections of a port without a place: a share of all, and a maximum.
 SPARE_SHARE = 0.125
 MAX_SPARE = 64
+# Time for which a connection stays open after a refusal (s), so that its
+# client can read the answer before what it still sends resets the connection.
+LINGER_S = 2.0
+# Reason to close such a connection, which was counted as it was refused.
+REFUSED = 'refused'
+# A connection that has been idle for this time gives its place to a request
+# (s); one that is new may have sent a request already.
+IDLE_GRACE_S = 0.1
 
 
 class Place(enum.Enum):
@@ -36,6 +47,9 @@
         For logs.
     share : float
         Share of the connections of the process that this port may use.
+    holds_places : bool
+        Whether requests may wait for the end of a job. Otherwise each request
+        is answered at once, also without a place.
 
     Attributes
     ----------
@@ -51,14 +65,15 @@
     receiving, receiving_body, unread : dict
         The same of connections that send a header section, of those that send
         a body, and of those that don't read their answers.
+    refused : dict
+        The same of connections whose request was refused.
     return_times : ReturnTimes
-    refuse_app : callable
-        ASGI application for requests that need a place.
     """
 
-    def __init__(self, limits, name, share=1.0):
+    def __init__(self, limits, name, share=1.0, holds_places=False):
         self.limits = limits
         self.name = name
+        self.holds_places = holds_places
         total = max(int(limits.max_connections * share), 2)
         self.max_spare = min(max(int(total * SPARE_SHARE), 1), MAX_SPARE)
         self.max_regular = total - self.max_spare
@@ -68,8 +83,8 @@
         self.receiving = {}
         self.receiving_body = {}
         self.unread = {}
+        self.refused = {}
         self.return_times = _http_refusal.ReturnTimes()
-        self.refuse_app = _http_refusal.make_app(self)
         self._loop = asyncio.get_running_loop()
         self._swept_at = self._loop.time()
         self._loop.call_later(_limits.SWEEP_INTERVAL_S, self._sweep)
@@ -80,7 +95,8 @@
         Others give way to it in this order: connections that have been idle,
         have been sending a request, or have left answers unread for
         `SLOW_REQUEST_S`, the longest first; connections without a place that
-        have sent no request; then the others without a complete request.
+        were refused or have sent no request; then the others without a
+        complete request.
         """
         if self.regular >= self.max_regular:
             self._make_room(_limits.SLOW_REQUEST_S, self._slow_ones())
@@ -113,6 +129,9 @@
                     return
 
     def _end_idle_spare(self):
+        for conn in self.refused:
+            conn.close_for(REFUSED)
+            return
         for conn in self.spare:
             if conn in self.waiting:
                 conn.close_for('connections')
@@ -124,19 +143,71 @@
             self.regular -= 1
         self.spare.pop(conn, None)
 
+    def put(self, conn, since):
+        """Put a connection under the deadline of what it does now.
+
+        Parameters
+        ----------
+        conn : BoundedProtocol
+        since : dict or None
+            One of this port, but not `unread`; None for no deadline.
+        """
+        if since is not None and conn in since:
+            return
+        for other in (
+            self.waiting,
+            self.receiving,
+            self.receiving_body,
+            self.refused,
+        ):
+            other.pop(conn, None)
+        if since is not None:
+            since[conn] = self._loop.time()
+
+    def record_closed(self, reason, client):
+        """Count and log a connection that is closed.
+
+        Parameters
+        ----------
+        reason : str
+        client : tuple of (str, int) or None
+        """
+        if reason == REFUSED:
+            return
+        self.limits.count_closed(reason)
+        if reason != 'idle_timeout':
+            _log.warning(
+                'client_closed',
+                reason=reason,
+                port=self.name,
+                client=client and client[0],
+            )
+
     def record_answer(self, place):
         """Note that a request is over, so that its place can be taken."""
         if place is Place.REGULAR:
             self.return_times.record_freed(self._loop.time())
 
     def promote(self, conn):
-        """Give a spare connection a place if one is free; return its place."""
+        """Give a spare connection with a request a place, if there is one.
+
+        Returns
+        -------
+        Place
+            That of the connection now.
+        """
+        if self.regular >= self.max_regular:
+            self._make_room(IDLE_GRACE_S, (self.waiting,))
         if self.regular >= self.max_regular:
             return Place.SPARE
         del self.spare[conn]
         self.regular += 1
         return Place.REGULAR
 
+    def holds(self, method):
+        """Tell whether a request may hold its place until a job has ended."""
+        return self.holds_places and method in _http_refusal.HOLDING_METHODS
+
     def retry_after_s(self):
         """Return the Retry-After of a client that is refused now (s)."""
         return self.return_times.next_s(self._loop.time())
@@ -158,6 +229,7 @@
             (self.receiving, requests.header_timeout_s, 'header_timeout'),
             (self.receiving_body, _limits.BODY_TIMEOUT_S, 'body_timeout'),
             (self.unread, requests.idle_timeout_s, 'unread_answers'),
+            (self.refused, LINGER_S, REFUSED),
         ):
             expired = []
             for conn, began_at in since.items():
--- a/azurepier/daemon/_http_refusal.py
+++ b/azurepier/daemon/_http_refusal.py
@@ -21,7 +21,6 @@
 # Time constant of the rate at which places become free (s).
 RATE_WINDOW_S = 2.0
 MAX_LOGGED_PATH = 256
-_BODY = b'{"error":"too many connections"}'
 _ANSWER = b'HTTP/1.1 %b\r\ncontent-length: 0\r\n%bconnection: close\r\n\r\n'
 _UNAVAILABLE = b'503 Service Unavailable'
 _STATUS_BY_REASON = {
@@ -33,6 +32,7 @@
     'body_timeout': b'408 Request Timeout',
     'memory': _UNAVAILABLE,
     'connections': _UNAVAILABLE,
+    'no_place': _UNAVAILABLE,
 }
 
 
@@ -108,39 +108,23 @@
     return _ANSWER % (status, headers)
 
 
-def make_app(port):
-    """Return the ASGI application that refuses the requests of a port.
+def refuse(port, path):
+    """Count and log a request without a place; return its answer.
 
-    It reads a request to its end: the answer would be lost if the connection
-    were closed with unread bytes.
-    """
+    Parameters
+    ----------
+    port : azurepier.daemon._http_port.Port
+    path : str
 
-    async def app(scope, receive, send):
-        expects_answer = any(name == b'expect' for name, _ in scope['headers'])
-        more_body = not expects_answer
-        while more_body:
-            msg = await receive()
-            if msg['type'] != 'http.request':
-                return
-            more_body = msg.get('more_body', False)
-        port.limits.count_closed('no_place')
-        retry_after_s = port.retry_after_s()
-        _log.info(
-            'request_refused',
-            reason='no_place',
-            port=port.name,
-            path=scope['path'][:MAX_LOGGED_PATH],
-            retry_after_s=retry_after_s,
-        )
-        headers = [
-            (b'content-type', b'application/json'),
-            (b'content-length', b'%d' % len(_BODY)),
-            (b'retry-after', b'%d' % retry_after_s),
-            (b'connection', b'close'),
-        ]
-        await send(
-            {'type': 'http.response.start', 'status': 503, 'headers': headers}
-        )
-        await send({'type': 'http.response.body', 'body': _BODY})
-
-    return app
+    Returns
+    -------
+    bytes
+    """
+    port.limits.count_closed('no_place')
+    _log.info(
+        'request_refused',
+        reason='no_place',
+        port=port.name,
+        path=path[:MAX_LOGGED_PATH],
+    )
+    return make_answer(port, 'no_place')
--- a/azurepier/daemon/_http_server.py
+++ b/azurepier/daemon/_http_server.py
@@ -18,9 +18,7 @@
 from azurepier.daemon import _http_port
 from azurepier.daemon import _http_refusal
 from azurepier.daemon import _limits
-from azurepier.daemon import _logs
 
-_log = _logs.EventLog('azurepier')
 # All connections of a process share one receive buffer: the event loop calls
 # `buffer_updated` immediately after it has filled the buffer.
 _receive_buffer = memoryview(bytearray(_limits.READ_BYTES))
@@ -96,14 +94,9 @@
         self._place = _http_port.Place.NONE
         self._memory.give_back(*_http_memory.Use)
         self._unparsed = b''
-        self._leave()
+        port.put(self, None)
         port.unread.pop(self, None)
 
-    def _leave(self):
-        port = self._port
-        for since in (port.waiting, port.receiving, port.receiving_body):
-            since.pop(self, None)
-
     def _track(self):
         """Put the connection under the deadline of what it does now.
 
@@ -116,6 +109,8 @@
         is_open = cycle is not None and not cycle.response_complete
         if self._unparsed or self.pipeline or self.flow.write_paused:
             since = None
+        elif self._drops_input:
+            since = None if is_open else port.refused
         elif cycle is not None and not self._in_head:
             since = port.receiving_body
         elif is_open:
@@ -124,11 +119,7 @@
             # Empty lines don't begin a request for the parser.
             has_begun = self._has_begun or self._head_bytes > 0
             since = port.receiving if has_begun else port.waiting
-        if since is None:
-            self._leave()
-        elif self not in since:
-            self._leave()
-            since[self] = self.loop.time()
+        port.put(self, since)
 
     def close_for(self, reason):
         """Close the connection because it has exceeded a limit.
@@ -139,16 +130,8 @@
         if self._closing:
             return
         self._forget()
-        self._port.limits.count_closed(reason)
-        if reason != 'idle_timeout':
-            _log.warning(
-                'client_closed',
-                reason=reason,
-                port=self._port.name,
-                client=self.client and self.client[0],
-            )
-        answer = _http_refusal.make_answer(self._port, reason)
-        may_answer = not self.pipeline and (
+        self._port.record_closed(reason, self.client)
+        may_answer = not (self.pipeline or self._drops_input) and (
             self.cycle is None
             or self.cycle.response_complete
             or not (self._in_head or self.cycle.response_started)
@@ -156,8 +139,8 @@
         if self.cycle is not None and not self.cycle.response_complete:
             self.cycle.disconnected = True
             self.cycle.message_event.set()
-        if answer and may_answer and not self.flow.write_paused:
-            self.transport.write(answer)
+        if may_answer and not self.flow.write_paused:
+            self.transport.write(_http_refusal.make_answer(self._port, reason))
             # Unsent bytes would keep the connection open.
             if not self.transport.get_write_buffer_size():
                 self.transport.close()
@@ -337,10 +320,22 @@
             self._place = self._port.promote(self)
         if self._place is _http_port.Place.SPARE:
             cycle.keep_alive = False
-            if cycle.scope['method'] in _http_refusal.HOLDING_METHODS:
-                app = self._port.refuse_app
+            if self._port.holds(cycle.scope['method']):
+                self._refuse(cycle)
+                return
         super()._start_asgi_task(cycle, app)
 
+    def _refuse(self, cycle):
+        """Answer a request without its body, which is dropped."""
+        cycle.response_started = cycle.response_complete = True
+        self._drops_input = True
+        path = cycle.scope['path']
+        self.transport.write(_http_refusal.refuse(self._port, path))
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        else:
+            self.transport.close()
+
     def on_response_complete(self):
         """Return the memory of the request, and go on with the next one."""
         self.server_state.total_requests += 1
@@ -361,7 +356,7 @@
         if self._closing:
             return
         self.flow.pause_reading()
-        self._leave()
+        self._port.put(self, None)
         self._port.unread[self] = self.loop.time()
         unsent = self.transport.get_write_buffer_size()
         if unsent > _limits.FREE_BYTES and not self._lacks_memory:
--- a/azurepier/daemon/_web.py
+++ b/azurepier/daemon/_web.py
@@ -57,7 +57,8 @@
         app,
         loop='asyncio',
         http=functools.partial(
-            _http_server.BoundedProtocol, _http_port.Port(limits, 'web')
+            _http_server.BoundedProtocol,
+            _http_port.Port(limits, 'web', holds_places=True),
         ),
         ws='none',
         lifespan='on',
--- a/azurepier/daemon/tests/test_http_refusal.py
+++ b/azurepier/daemon/tests/test_http_refusal.py
@@ -110,6 +110,18 @@
         assert (await _read(idle[0])).startswith(b'HTTP/1.1 503')
         _close(held)
 
+    @server.run_in_loop
+    async def test_job_instead_of_idle_connections(self):
+        """Guards against silent connections that make an entry refuse jobs."""
+        connect = await server._start(server._limits_of(max_connections=16))
+        idle = [await connect() for _ in range(14)]
+        await asyncio.sleep(2 * _http_port.IDLE_GRACE_S)
+        client = await connect()
+        client[1].write(_post())
+        assert (await client[0].readline()).split()[1] == b'200'
+        assert (await _read(idle[0])).startswith(b'HTTP/1.1 503')
+        _close([client, *idle])
+
     def test_each_port_has_a_place_and_a_spare_connection(self):
         """Guards against a small machine that refuses everything."""
 
--- a/azurepier/daemon/tests/test_http_server.py
+++ b/azurepier/daemon/tests/test_http_server.py
@@ -48,7 +48,7 @@
     cfg = uvicorn.Config(_app, lifespan='off', log_config=None)
     cfg.load()
     server = uvicorn.Server(cfg)
-    port = _http_port.Port(limits, 'test')
+    port = _http_port.Port(limits, 'test', holds_places=True)
     listener = await asyncio.get_running_loop().create_server(
         lambda: _http_server.BoundedProtocol(
             port, config=cfg, server_state=server.server_state, app_state={}
--- a/azurepier/testing/_virtual_loop.py
+++ b/azurepier/testing/_virtual_loop.py
@@ -237,6 +237,10 @@
         """Return the number of bytes that wait for the window."""
         return sum(map(len, self._unsent))
 
+    def can_write_eof(self):
+        """Return False: a connection ends in both directions."""
+        return False
+
     def set_write_buffer_limits(self, high=None, low=None):
         """Ignore the limits."""
 
--- a/tests/adapter/test_client_limits.py
+++ b/tests/adapter/test_client_limits.py
@@ -293,11 +293,25 @@
     check(programs, *PORTS[port][:2], HTTP_CASES[case], *PORTS[port][2:])
 
 
+def check_inner_port(programs, port, case):
+    """Let a crowd meet a port for other processes, and check what must hold.
+
+    The answer to an ordinary peer begins with the header of the process's own
+    first message.
+    """
+    hello = _hello_frame('probe')
+    check(programs, INNER_PORTS[port], 'inner', case, hello, b'\0\0')
+
+
 @pytest.mark.parametrize('case', INNER_CASES)
 @pytest.mark.parametrize('port', INNER_PORTS)
 def test_inner_port(programs, port, case):
     """Guards against connections of peers that exhaust the memory."""
-    program = INNER_PORTS[port]
-    hello = _hello_frame('probe')
-    # The answer begins with the header of the process's own first message.
-    check(programs, program, 'inner', INNER_CASES[case], hello, b'\0\0')
+    check_inner_port(programs, port, INNER_CASES[case])
+
+
+@pytest.mark.parametrize('case', HTTP_CASES)
+@pytest.mark.parametrize('port', INNER_PORTS)
+def test_http_at_an_inner_port(programs, port, case):
+    """Guards against HTTP clients at a port for other processes."""
+    check_inner_port(programs, port, HTTP_CASES[case])
