--- a/azurepier/daemon/_logs.py
+++ b/azurepier/daemon/_logs.py
@@ -31,6 +31,15 @@
 _FAULT_FIELDS = ('peer', 'address', 'reason', 'error')
 
 
+def _fault_detail(record, key):
+    """Return the part of a field that tells faults apart.
+
+    A client may have any number of ports.
+    """
+    text = str(getattr(record, key, ''))
+    return text.rpartition(':')[0] if key == 'address' else text
+
+
 @attrs.define
 class _Fault:
     period_started_at: float
@@ -54,7 +63,7 @@
         """Return whether a record is written."""
         if record.levelno < logging.WARNING:
             return True
-        details = [str(getattr(record, key, '')) for key in _FAULT_FIELDS]
+        details = [_fault_detail(record, key) for key in _FAULT_FIELDS]
         key = (record.name, record.msg, *details)
         now = self.clock()
         fault = self._faults.get(key)
--- a/azurepier/daemon/tests/test_settings.py
+++ b/azurepier/daemon/tests/test_settings.py
@@ -149,6 +149,18 @@
         assert [line.get('suppressed') for line in repeated[-2:]] == [15, None]
         assert sum(line['event'] == 'normal' for line in lines) == 21
 
+    def test_ports_of_one_client(self):
+        """Guards against a client that fills the log from many ports."""
+        repetition_filter = _logs.RepetitionFilter()
+        written = 0
+        for port in range(1000):
+            fields = {'levelno': logging.WARNING, 'reason': 'malformed'}
+            record = logging.makeLogRecord(
+                {**fields, 'address': f'10.0.0.1:{port}'}
+            )
+            written += repetition_filter.filter(record)
+        assert written == _logs.MAX_REPETITIONS
+
     def test_memory_is_bounded(self):
         """Guards against unbounded memory if each fault text is different."""
         repetition_filter = _logs.RepetitionFilter()
