--- a/tests/adapter/process_soak.py
+++ b/tests/adapter/process_soak.py
@@ -2,13 +2,15 @@
 
 Run by hand with the numbers of entries, endpoint processes and callers, the
 seconds and a first and last seed; ``--commit`` plays an earlier build,
-``--policy`` with the optional parts in a file:
+``--policy`` with the optional parts in a file, ``--crowds`` with clients
+outside the limits and callers that leave:
 ``python tests/adapter/process_soak.py --size 12 68 24 --seconds 40 1 50``.
 
 Signals, returns of workers, heartbeats of another program, closed connections
 and changes of the configuration overlap. What the workers see is checked: no
 two runs of a task at a time, no start without its label or beyond the room, no
-start of a job that was refused, and no success without all ends.
+start of a job that was refused, and no success without all ends. With crowds,
+the memory of the processes is checked too.
 """
 
 import argparse
@@ -27,6 +29,7 @@
 sys.path[:0] = [str(_ROOT / 'platform'), str(_HERE), str(_ROOT)]
 
 import attrs  # noqa: E402
+import soak_crowds  # noqa: E402
 
 from mixed_fleet import _builds  # noqa: E402
 from mixed_fleet import _callers  # noqa: E402
@@ -39,7 +42,18 @@
 CALM_S = 8.0
 KINDS = ('a', 'b')
 # Rules of the record that faults don't excuse.
-RULES = ('twice', 'label', 'limit', 'refused', 'not_done', 'unasked')
+RULES = (
+    'twice',
+    'label',
+    'limit',
+    'refused',
+    'not_done',
+    'unasked',
+    'memory',
+)
+# The settings of the processes have no limit of memory, so that they count on
+# the machine of an endpoint process (MB).
+MEMORY_MB = 128
 _RETURN_S = (0.02, 0.1, 0.25, 0.8)
 _RESTART_S = (0.1, 0.5, 1.5, 3.0)
 _STOP_S = (0.2, 0.35, 0.45, 0.8, 1.3, 4.0)
@@ -54,6 +68,8 @@
     busy : set of str
         Names of the machines that a fault has changed for the moment.
     fault_counts : collections.Counter
+    crowd_rng : random.Random, optional
+        Random numbers of the crowds; there are none without it.
     """
 
     fleet: _fleet.Fleet
@@ -63,6 +79,7 @@
     fault_counts: collections.Counter = attrs.field(
         factory=collections.Counter
     )
+    crowd_rng: random.Random | None = None
 
 
 async def end_process(soak, machine):
@@ -182,9 +199,19 @@
         asyncio.create_task(_callers.run_caller(traffic, number))
         for number in range(callers)
     ]
+    if soak.crowd_rng is not None:
+        tasks.append(
+            asyncio.create_task(
+                soak_crowds.press(
+                    fleet, soak.crowd_rng, seconds, soak.fault_counts
+                )
+            )
+        )
     try:
         await disturb(soak, seconds, interval_s)
         await asyncio.sleep(CALM_S)
+        if soak.crowd_rng is not None:
+            soak_crowds.check_memory(fleet, MEMORY_MB)
         traffic.ended = True
         await asyncio.wait(tasks, timeout=CALM_S)
     finally:
@@ -192,12 +219,14 @@
             task.cancel()
 
 
-async def _run(folder, size, seconds, seed, interval_s, build):
+async def _run(folder, size, seconds, seed, interval_s, build, crowds):
     entries, endpoints, callers = size
     record = _record.Record(phase='soak')
     builds = {_builds.NEW: build}
     fleet = _fleet.make_fleet(folder, record, builds, (entries, endpoints))
     soak = Soak(fleet, random.Random(seed))
+    if crowds:
+        soak.crowd_rng = random.Random(f'crowds-{seed}')
     traffic = _callers.Traffic(
         fleet, seed, [_operator.COMMON_PREFIX], ['', *KINDS]
     )
@@ -213,7 +242,16 @@
     return record, soak.fault_counts
 
 
-def run(folder, size, seconds, seed, interval_s=0.3, commit=None, policy=None):
+def run(
+    folder,
+    size,
+    seconds,
+    seed,
+    interval_s=0.3,
+    commit=None,
+    policy=None,
+    crowds=False,
+):
     """Play faults for some time (s); return the record and their numbers.
 
     Parameters
@@ -230,11 +268,15 @@
         Commit that is played instead of the working copy.
     policy : str, optional
         File with the optional parts in use; none are in use without it.
+    crowds : bool, optional
+        Whether there are clients outside the limits and callers that leave.
     """
     build = _builds.extract(commit) if commit else _builds.working_copy()
     if policy:
         build = attrs.evolve(build, policy=(str(policy),))
-    return asyncio.run(_run(folder, size, seconds, seed, interval_s, build))
+    return asyncio.run(
+        _run(folder, size, seconds, seed, interval_s, build, crowds)
+    )
 
 
 def main():
@@ -245,6 +287,7 @@
     parser.add_argument('--interval', type=float, default=0.3)
     parser.add_argument('--commit')
     parser.add_argument('--policy')
+    parser.add_argument('--crowds', action='store_true')
     parser.add_argument('first', type=int)
     parser.add_argument('last', type=int)
     args = parser.parse_args()
@@ -261,6 +304,7 @@
             args.interval,
             args.commit,
             args.policy,
+            args.crowds,
         )
         broken += bool(record.violations)
         outcomes = collections.Counter(
--- a/tests/adapter/test_process_soak.py
+++ b/tests/adapter/test_process_soak.py
@@ -13,6 +13,15 @@
         assert record.ended['done'] > 100
         assert faults['return_worker'] and faults['send_foreign_heartbeat']
 
+    def test_with_crowds(self, tmp_path):
+        """Guards against the same beside clients outside the limits."""
+        record, counts = process_soak.run(
+            tmp_path, (3, 6, 8), 12.0, 4, crowds=True
+        )
+        assert record.violations == []
+        assert record.ended['done'] > 100
+        assert counts['jobs_of_leaving_callers']
+
     def test_with_the_optional_parts(self, tmp_path):
         """Guards against the same with orders that wait for capacity."""
         policy = tmp_path / 'dispatch.toml'
