--- a/azurepier/daemon/_http_port.py
+++ b/azurepier/daemon/_http_port.py
@@ -28,6 +28,10 @@
 IDLE_GRACE_S = 0.1
 
 
+# Each request is answered at once, also without a place.
+ANSWERS_ALL = _http_refusal.Refusals()
+
+
 class Place(enum.Enum):
     """Whether a connection counts towards the places of its port."""
 
@@ -47,9 +51,7 @@
         For logs.
     share : float
         Share of the connections of the process that this port may use.
-    holds_places : bool
-        Whether requests may wait for the end of a job. Otherwise each request
-        is answered at once, also without a place.
+    refusals : azurepier.daemon._http_refusal.Refusals
 
     Attributes
     ----------
@@ -70,10 +72,10 @@
     return_times : ReturnTimes
     """
 
-    def __init__(self, limits, name, share=1.0, holds_places=False):
+    def __init__(self, limits, name, share=1.0, refusals=ANSWERS_ALL):
         self.limits = limits
         self.name = name
-        self.holds_places = holds_places
+        self.refusals = refusals
         total = max(int(limits.max_connections * share), 2)
         self.max_spare = min(max(int(total * SPARE_SHARE), 1), MAX_SPARE)
         self.max_regular = total - self.max_spare
@@ -204,10 +206,6 @@
         self.regular += 1
         return Place.REGULAR
 
-    def holds(self, method):
-        """Tell whether a request may hold its place until a job has ended."""
-        return self.holds_places and method in _http_refusal.HOLDING_METHODS
-
     def retry_after_s(self):
         """Return the Retry-After of a client that is refused now (s)."""
         return self.return_times.next_s(self._loop.time())
--- a/azurepier/daemon/_http_refusal.py
+++ b/azurepier/daemon/_http_refusal.py
@@ -14,14 +14,12 @@
 from azurepier.daemon import _logs
 
 _log = _logs.EventLog('azurepier')
-# Methods whose requests may hold a place until a job has ended.
-HOLDING_METHODS = frozenset({'POST', 'PUT', 'PATCH'})
 RETRY_MIN_S = 1
 RETRY_MAX_S = 8
 # Time constant of the rate at which places become free (s).
 RATE_WINDOW_S = 2.0
 MAX_LOGGED_PATH = 256
-_ANSWER = b'HTTP/1.1 %b\r\ncontent-length: 0\r\n%bconnection: close\r\n\r\n'
+_ANSWER = b'HTTP/1.1 %b\r\ncontent-length: %d\r\n%bconnection: close\r\n\r\n%b'
 _UNAVAILABLE = b'503 Service Unavailable'
 _STATUS_BY_REASON = {
     'header_bytes': b'431 Request Header Fields Too Large',
@@ -32,10 +30,37 @@
     'body_timeout': b'408 Request Timeout',
     'memory': _UNAVAILABLE,
     'connections': _UNAVAILABLE,
-    'no_place': _UNAVAILABLE,
 }
 
 
+def _holds_nothing(method, path):
+    return False
+
+
+def _make_empty_body(retry_after_s):
+    return b''
+
+
+@attrs.frozen
+class Refusals:
+    """How a port refuses requests.
+
+    Parameters
+    ----------
+    holds : callable
+        ``holds(method, path)`` tells whether a request may hold its place
+        until a job has ended. All others are answered without a place.
+    make_body : callable
+        ``make_body(retry_after_s)`` returns the body of the refusal of such a
+        request, of which nothing has run.
+    content_type : bytes
+    """
+
+    holds: object = _holds_nothing
+    make_body: object = _make_empty_body
+    content_type: bytes = b'application/json'
+
+
 @attrs.define(eq=False)
 class ReturnTimes:
     """Gives refused callers turns at the rate at which places become free.
@@ -105,7 +130,7 @@
     headers = b''
     if status is _UNAVAILABLE:
         headers = b'retry-after: %d\r\n' % port.retry_after_s()
-    return _ANSWER % (status, headers)
+    return _ANSWER % (status, 0, headers, b'')
 
 
 def refuse(port, path):
@@ -127,4 +152,10 @@
         port=port.name,
         path=path[:MAX_LOGGED_PATH],
     )
-    return make_answer(port, 'no_place')
+    retry_after_s = port.retry_after_s()
+    headers = b'content-type: %b\r\nretry-after: %d\r\n' % (
+        port.refusals.content_type,
+        retry_after_s,
+    )
+    body = port.refusals.make_body(retry_after_s)
+    return _ANSWER % (_UNAVAILABLE, len(body), headers, body)
--- a/azurepier/daemon/_http_server.py
+++ b/azurepier/daemon/_http_server.py
@@ -320,7 +320,8 @@
             self._place = self._port.promote(self)
         if self._place is _http_port.Place.SPARE:
             cycle.keep_alive = False
-            if self._port.holds(cycle.scope['method']):
+            method, path = cycle.scope['method'], cycle.scope['path']
+            if self._port.refusals.holds(method, path):
                 self._refuse(cycle)
                 return
         super()._start_asgi_task(cycle, app)
--- a/azurepier/daemon/_web.py
+++ b/azurepier/daemon/_web.py
@@ -9,13 +9,30 @@
 
 from azurepier.daemon import _http_flow
 from azurepier.daemon import _http_port
+from azurepier.daemon import _http_refusal
 from azurepier.daemon import _http_server
 from azurepier.daemon import _limits
 from azurepier.kernel import AzurepierError
+from azurepier import web
 from azurepier import wire
 
 SHUTDOWN_TIMEOUT_S = 5
 _START_POLL_INTERVAL_S = 0.01
+_SUBMIT_PATH = '/v1/jobs'
+
+
+def _holds(method, path):
+    """Tell whether a request waits for the end of its job."""
+    return method == 'PUT' or (method, path) == ('POST', _SUBMIT_PATH)
+
+
+def _make_problem(retry_after_s):
+    return web.make_refusal_body('too many connections', retry_after_s)
+
+
+_REFUSALS = _http_refusal.Refusals(
+    _holds, _make_problem, b'application/problem+json'
+)
 
 
 class _Server(uvicorn.Server):
@@ -58,7 +75,7 @@
         loop='asyncio',
         http=functools.partial(
             _http_server.BoundedProtocol,
-            _http_port.Port(limits, 'web', holds_places=True),
+            _http_port.Port(limits, 'web', refusals=_REFUSALS),
         ),
         ws='none',
         lifespan='on',
--- a/azurepier/daemon/tests/test_http_server.py
+++ b/azurepier/daemon/tests/test_http_server.py
@@ -8,6 +8,7 @@
 import uvicorn
 
 from azurepier.daemon import _http_port
+from azurepier.daemon import _http_refusal
 from azurepier.daemon import _http_server
 from azurepier.daemon import _limits
 
@@ -48,7 +49,8 @@
     cfg = uvicorn.Config(_app, lifespan='off', log_config=None)
     cfg.load()
     server = uvicorn.Server(cfg)
-    port = _http_port.Port(limits, 'test', holds_places=True)
+    refusals = _http_refusal.Refusals(lambda method, path: method == 'POST')
+    port = _http_port.Port(limits, 'test', refusals=refusals)
     listener = await asyncio.get_running_loop().create_server(
         lambda: _http_server.BoundedProtocol(
             port, config=cfg, server_state=server.server_state, app_state={}
--- a/azurepier/web/__init__.py
+++ b/azurepier/web/__init__.py
@@ -1,5 +1,6 @@
 """HTTP interface for callers and operators."""
 
+from azurepier.web._answers import make_refusal_body
 from azurepier.web._app import create_app
 from azurepier.web._app import create_operators_app
 from azurepier.web._drain import drain_proof
@@ -12,6 +13,7 @@
     'create_app',
     'create_operators_app',
     'drain_proof',
+    'make_refusal_body',
     'parse_ids_request',
     'parse_job',
 ]
--- a/azurepier/web/_answers.py
+++ b/azurepier/web/_answers.py
@@ -95,6 +95,28 @@
     return Response(status, headers, Content(_PROBLEM_CONTENT_TYPE, body))
 
 
+def make_refusal_body(detail, retry_after_s):
+    """Return the problem document for a job that reached no node.
+
+    Parameters
+    ----------
+    detail : str
+    retry_after_s : float
+
+    Returns
+    -------
+    bytes
+    """
+    answer = kernel.Refused(
+        job_id='',
+        type='not-ready',
+        verdict=kernel.Verdict.NOT_RUN,
+        detail=detail,
+        retry_after_s=retry_after_s,
+    )
+    return _refused_response(answer, '').content.body
+
+
 _RESPONSE_BUILDERS = {
     kernel.Complete: _complete_response,
     kernel.Accepted: _accepted_response,
--- a/azurepier/web/tests/test_app.py
+++ b/azurepier/web/tests/test_app.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from azurepier.client import _decisions
+from azurepier.client import _transport
 from azurepier import kernel
 from azurepier import web
 from azurepier.web.tests import fakes
@@ -236,3 +238,15 @@
         assert counted in text
         assert 'outcome="unknown-customer"' in text
         assert fakes.JOB_ID not in text
+
+
+class TestRefusalWithoutAPlace:
+    def test_client_reads_it(self):
+        """Guards against a refusal that the client takes for a lost answer."""
+        body = web.make_refusal_body('too many connections', 3)
+        response = _transport.Response(503, (), body)
+        outcome = _transport.read_outcome(response, 1)
+        assert outcome.kind is _decisions.Kind.REFUSED
+        assert outcome.verdict is kernel.Verdict.NOT_RUN
+        assert outcome.retry_after_s == 3
+        assert not outcome.binding
