--- a/azurepier/wire/_connection.py
+++ b/azurepier/wire/_connection.py
@@ -18,9 +18,9 @@
 MAX_HANDSHAKE_BYTES = 64 * 1024
 # Part of an incomplete message that doesn't count towards the memory of all
 # connections; most messages are shorter.
-FREE_INCOMPLETE_BYTES = 64 * 1024
+FREE_INCOMPLETE_BYTES = 16 * 1024
 # The same of messages that wait to be sent.
-FREE_UNSENT_BYTES = 32 * 1024
+FREE_UNSENT_BYTES = 16 * 1024
 MAX_UNSENT_BYTES = 32 * 1024 * 1024
 # A connection that is being closed is aborted after this time if the peer
 # has not read the remaining bytes.
