--- a/azurepier/dispatch/_config.py
+++ b/azurepier/dispatch/_config.py
@@ -86,13 +86,19 @@
     for route in queues:
         if route not in routing.queues:
             former[route] = None
+            node.longest_former_prefix = max(
+                node.longest_former_prefix, len(route[1])
+            )
     while len(former) > FORMER_ROUTES_MAX:
         former.popitem(last=False)
 
 
 def had_route(node, host, path):
     """Tell whether an earlier version had a route to a queue for this path."""
-    return _model.find_route(node.former_routes, host, path) is not None
+    route = _model.find_route(
+        node.former_routes, host, path, node.longest_former_prefix
+    )
+    return route is not None
 
 
 def hear(node, version, source, now):
--- a/azurepier/dispatch/_model.py
+++ b/azurepier/dispatch/_model.py
@@ -203,11 +203,21 @@
         `Queue` by ``(host, path prefix)``.
     body : bytes
         The text as the operator wrote it, forwarded to other entries.
+
+    Attributes
+    ----------
+    longest_prefix : int
+        Length of the longest path prefix.
     """
 
     version: int
     queues: dict
     body: bytes = b''
+    longest_prefix: int = attrs.field(init=False, eq=False)
+
+    @longest_prefix.default
+    def _find_longest_prefix(self):
+        return max((len(prefix) for _, prefix in self.queues), default=0)
 
 
 def find_queue(routing, host, path):
@@ -222,20 +232,25 @@
     -------
     tuple of (Queue or None, str)
     """
-    route = find_route(routing.queues, host, path)
+    route = find_route(routing.queues, host, path, routing.longest_prefix)
     return (None, '') if route is None else (routing.queues[route], route[1])
 
 
-def find_route(routes, host, path):
+def find_route(routes, host, path, longest_prefix):
     """Return the route with the longest matching prefix, None if none matches.
 
+    Load pattern: paths of thousands of slashes, each of which may end a
+    prefix. Only those are looked up that aren't longer than any route.
+
     Parameters
     ----------
     routes : container of tuple
         ``(host, path prefix)`` of each route.
     host, path : str
+    longest_prefix : int
+        Length of the longest prefix in `routes`, or more.
     """
-    end = len(path)
+    end = min(len(path), longest_prefix)
     while (end := path.rfind('/', 0, end)) >= 0:
         route = host, path[: end + 1]
         if route in routes:
--- a/azurepier/dispatch/_state.py
+++ b/azurepier/dispatch/_state.py
@@ -333,6 +333,8 @@
     routing: object = None
     # Routes of earlier versions, ``(host, path prefix)``, the latest last.
     former_routes: dict = attrs.field(factory=collections.OrderedDict)
+    # Length of the longest path prefix of these so far.
+    longest_former_prefix: int = 0
     # Newest version of the configuration that this entry has heard of, -1 for
     # none, and when (s).
     config_heard: int = -1
