--- a/azurepier/daemon/_http_server.py
+++ b/azurepier/daemon/_http_server.py
@@ -129,6 +129,8 @@
         """
         if self._closing:
             return
+        # Clients expect that a connection that was used is closed while idle.
+        was_idle = self.cycle is not None and self in self._port.waiting
         self._forget()
         self._port.record_closed(reason, self.client)
         may_answer = not (self.pipeline or self._drops_input) and (
@@ -139,7 +141,7 @@
         if self.cycle is not None and not self.cycle.response_complete:
             self.cycle.disconnected = True
             self.cycle.message_event.set()
-        if may_answer and not self.flow.write_paused:
+        if may_answer and not (was_idle or self.flow.write_paused):
             self.transport.write(_http_refusal.make_answer(self._port, reason))
             # Unsent bytes would keep the connection open.
             if not self.transport.get_write_buffer_size():
@@ -167,14 +169,15 @@
         client so; what it sends meanwhile is dropped.
         """
         cycle = self._open_cycle
-        if cycle.response_complete or not self._in_head:
+        is_incomplete = cycle is self.cycle and not self._in_head
+        if cycle is None or cycle.response_complete or is_incomplete:
             self.close_for('memory')
             return
         self._port.limits.count_closed('memory')
         self._lacks_memory, self._drops_input = False, True
         self._unparsed = b''
         self.pipeline.clear()
-        self._has_begun = False
+        self._in_head, self._has_begun = True, False
         self.cycle = cycle
         cycle.keep_alive = False
         self.flow.resume_reading()
--- a/azurepier/daemon/tests/test_http_refusal.py
+++ b/azurepier/daemon/tests/test_http_refusal.py
@@ -122,6 +122,21 @@
         assert (await _read(idle[0])).startswith(b'HTTP/1.1 503')
         _close([client, *idle])
 
+    @server.run_in_loop
+    async def test_used_connection_that_is_idle(self):
+        """Guards against an answer that seems to be that to the next job."""
+        connect = await server._start(server._limits_of(max_connections=16))
+        used = [await connect() for _ in range(14)]
+        for reader, writer in used:
+            writer.write(server.GET % 1)
+            await reader.readuntil(b'\r\n\r\n/1')
+        await asyncio.sleep(2 * _http_port.IDLE_GRACE_S)
+        client = await connect()
+        client[1].write(_post())
+        assert (await client[0].readline()).split()[1] == b'200'
+        assert await _read(used[0]) == b''
+        _close([client, *used])
+
     def test_each_port_has_a_place_and_a_spare_connection(self):
         """Guards against a small machine that refuses everything."""
 
@@ -144,7 +159,8 @@
         limits = server._limits_of(shared_bytes=1000)
         connect = await server._start(limits)
         client = await connect()
-        client[1].write(_SLOW + server.GET % 2 + _post() + server.HEAD)
+        unended = server.HEAD + b'content-length: 100000\r\n\r\n1'
+        client[1].write(_SLOW + server.GET % 2 + _post() + unended)
         await asyncio.sleep(0.1)
         client[1].write(bytes(200_000))
         answer = await _read(client)
