--- a/azurepier/daemon/_limits.py
+++ b/azurepier/daemon/_limits.py
@@ -13,9 +13,8 @@
 DEFAULT_MEMORY_MB = 128
 # Used if the kernel sets no limit on the descriptors of the process.
 MAX_DEFAULT_FDS = 8192
-# Memory that a process needs without any client (MB): 34 MB were measured
-# for an entry that had answered some requests, the rest is for its jobs and
-# its links. At least `MIN_CLIENT_MB` are left for clients.
+# Memory that a process needs without any client (MB), beside all processes of
+# the largest deployment. At least `MIN_CLIENT_MB` are left for clients.
 BASE_MEMORY_MB = 56
 MIN_CLIENT_MB = 8
 # Memory of a connection (bytes): its objects, and one request with a small
--- a/tests/adapter/test_worker_client.py
+++ b/tests/adapter/test_worker_client.py
@@ -55,6 +55,7 @@
 
     held: list = attrs.field(factory=list)
     sent: int = 0
+    last_body: bytes = b''
 
     def request(
         self,
@@ -69,6 +70,7 @@
     ):
         """Record a request; its answer is given by `answer_all`."""
         self.sent += 1
+        self.last_body = body
         self.held.append(on_response)
 
     def answer_all(self, response, error):
@@ -314,6 +316,17 @@
         assert requests.sent == count
         assert [each.number for each in answers] == list(range(count))
 
+    def test_latest_generation_is_sent(self):
+        """Guards against a stop that the worker refuses as an old one."""
+        requests = HeldRequests()
+        client = _workers.WorkerClient(requests, lambda event: None, None)
+        for number in range(_workers.MAX_CONCURRENT_STOPS):
+            client.stop_run(runner.StopRun('a.0.0.0', number, 1))
+        for generation in (1, 2):
+            client.stop_run(runner.StopRun('b.0.0.0', 1, generation))
+        requests.answer_all((200, b'{}'), None)
+        assert b'"fence_token":2' in requests.last_body
+
     def test_unanswered_stop_is_sent_again(self):
         """Guards against a run that is never stopped."""
         requests, answers = HeldRequests(), []
