--- a/azurepier/daemon/_http_refusal.py
+++ b/azurepier/daemon/_http_refusal.py
@@ -21,6 +21,7 @@
 MAX_LOGGED_PATH = 256
 _ANSWER = b'HTTP/1.1 %b\r\ncontent-length: %d\r\n%bconnection: close\r\n\r\n%b'
 _UNAVAILABLE = b'503 Service Unavailable'
+_MAY_HAVE_RUN = b'502 Bad Gateway'
 _STATUS_BY_REASON = {
     'header_bytes': b'431 Request Header Fields Too Large',
     'body_bytes': b'413 Content Too Large',
@@ -41,6 +42,10 @@
     return b''
 
 
+def _has_not_run(path):
+    return False
+
+
 @attrs.frozen
 class Refusals:
     """How a port refuses requests.
@@ -52,13 +57,17 @@
         until a job has ended. All others are answered without a place.
     make_body : callable
         ``make_body(retry_after_s)`` returns the body of the refusal of such a
-        request, of which nothing has run.
+        request.
     content_type : bytes
+    may_have_run : callable
+        ``may_have_run(path)`` tells whether the job was submitted before and
+        may have run, so that it gets a 502 instead.
     """
 
     holds: object = _holds_nothing
     make_body: object = _make_empty_body
     content_type: bytes = b'application/json'
+    may_have_run: object = _has_not_run
 
 
 @attrs.define(eq=False)
@@ -153,9 +162,9 @@
         path=path[:MAX_LOGGED_PATH],
     )
     retry_after_s = port.retry_after_s()
-    headers = b'content-type: %b\r\nretry-after: %d\r\n' % (
-        port.refusals.content_type,
-        retry_after_s,
-    )
     body = port.refusals.make_body(retry_after_s)
+    headers = b'content-type: %b\r\n' % port.refusals.content_type
+    if port.refusals.may_have_run(path):
+        return _ANSWER % (_MAY_HAVE_RUN, len(body), headers, body)
+    headers += b'retry-after: %d\r\n' % retry_after_s
     return _ANSWER % (_UNAVAILABLE, len(body), headers, body)
--- a/azurepier/dispatch/_records.py
+++ b/azurepier/dispatch/_records.py
@@ -42,6 +42,16 @@
         del started_jobs[job_id]
 
 
+def may_have_run(node, job_id, now):
+    """Tell whether this entry knows that a job may have run."""
+    return (
+        job_id in node.jobs
+        or job_id in node.started_jobs
+        or job_id in node.recent_outcomes
+        or is_start_forgotten(node, now)
+    )
+
+
 def is_start_forgotten(node, now):
     """Tell whether a job may have been started without a record of it."""
     return now - node.start_forgotten_at < STARTED_RETENTION_S
--- a/tests/adapter/test_client_crowds.py
+++ b/tests/adapter/test_client_crowds.py
@@ -148,6 +148,41 @@
         ask_for_job(front, 'after')
 
 
+class TestRefusedAgain:
+    """A caller that submits its job again while there is no place."""
+
+    def test_job_that_may_have_run(self, start_fleet):
+        """Guards against 'not run' for a job that was started."""
+        fleet = start_fleet(
+            limits={'memory_mb': MEMORY_MB, 'max_fds': MAX_FDS},
+            max_fds=MAX_FDS,
+        )
+        front = fleet.entry.addresses['front']
+        request = limited_fleet.post('again', cpu=1000, estimate_ms=20_000)
+        with socket.create_connection(front, crowd.ANSWER_TIMEOUT_S) as sock:
+            sock.sendall(request)
+            deadline = time.monotonic() + crowd.ANSWER_TIMEOUT_S
+            while 'again.0.0.0' not in fleet.worker.started:
+                assert time.monotonic() < deadline
+                time.sleep(0.02)
+        job = limited_fleet.post('crowd-#####', cpu=1000, estimate_ms=20_000)
+        socks = crowd.offer(
+            fleet.entry, front, MAX_FDS, job, b'', 0, MEMORY_MB
+        )
+        crowd.settle(fleet.entry)
+        statuses = {}
+        for job_id in ('again', 'other'):
+            request = limited_fleet.post(job_id, cpu=1000)
+            with socket.create_connection(front) as sock:
+                sock.settimeout(crowd.ANSWER_TIMEOUT_S)
+                sock.sendall(request)
+                statuses[job_id] = crowd.read_status(sock)
+        assert statuses == {'again': 502, 'other': 503}
+        check_processes(fleet)
+        for sock in socks:
+            sock.close()
+
+
 class TestCallersThatLeave:
     """Callers that submit a job and reset their connection."""
 
