--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,4 +4,4 @@
 # build has put into target/deps.
 cd "$(dirname "$0")/.." || exit 2
 export PYTHONPATH=target/deps:.:platform:tests/adapter:review
-exec python3 -S -c 'import fakes, rig; from standins import _server'
+exec python3 -S -c 'import fakes, fleet, rig; from standins import _server'
